--- /dev/null
+++ b/basaltlead/__main__.py
@@ -0,0 +1,7 @@
+"""`python3 -m basaltlead`."""
+
+import sys
+
+from basaltlead.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/basaltlead/cli.py
@@ -0,0 +1,31 @@
+"""The command line: `basaltlead serve --config FILE`."""
+
+import argparse
+import sys
+
+from basaltlead import __version__
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="basaltlead", description="A cluster scheduler.")
+    top.add_argument("--version", action="version", version=f"basaltlead {__version__}")
+    verbs = top.add_subparsers(dest="verb", required=True, metavar="VERB")
+    serve = verbs.add_parser("serve", help="run one controller until it is killed")
+    serve.add_argument("--operator", metavar="FILE", help="the operators' own settings (YAML)")
+    serve.add_argument("--config", metavar="FILE", required=True, help="the platform's TOML file")
+    return top
+
+
+def main(argv: list[str] | None = None) -> int:
+    options = parser().parse_args(argv)
+    from basaltlead.settings import SettingsError, load
+
+    try:
+        settings = load(options.config, options.operator)
+    except SettingsError as fault:
+        print(f"basaltlead: {fault}", file=sys.stderr)
+        return 2
+    from basaltlead import logs, node
+
+    logs.set_up()
+    return node.serve(settings)
--- /dev/null
+++ b/basaltlead/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the state service, the cloud and the workers."""
--- /dev/null
+++ b/basaltlead/clients/base.py
@@ -0,0 +1,65 @@
+"""What every client shares: rate budgets, backoff with jitter, checked answers."""
+
+import asyncio
+import random
+from typing import Any, TypeVar
+
+import msgspec
+
+from basaltlead.net.http import Failed
+
+T = TypeVar("T")
+
+
+class Unavailable(Exception):
+    """The other side said no for now (429, 503): the request was not executed."""
+
+
+class Budget:
+    """A rate with a burst of one second's worth (a leaky bucket in time units)."""
+
+    def __init__(self, rate: float, burst: float | None = None) -> None:
+        self.gap = 1.0 / rate
+        self.depth = (burst if burst is not None else rate) * self.gap
+        self.full_at = 0.0
+
+    async def take(self, amount: float = 1.0) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self.full_at = max(self.full_at, now) + amount * self.gap
+        wait = self.full_at - now - self.depth
+        if wait > 0:
+            await asyncio.sleep(wait)
+
+
+class Backoff:
+    """Doubling pauses with jitter, in microseconds."""
+
+    def __init__(self, low_us: int, high_us: int, chance: random.Random) -> None:
+        self.low_us = low_us
+        self.high_us = high_us
+        self.chance = chance
+        self.pause = low_us
+
+    def reset(self) -> None:
+        self.pause = self.low_us
+
+    def next_us(self) -> int:
+        pause = self.pause
+        self.pause = min(self.high_us, pause * 2)
+        return int(pause * self.chance.uniform(0.5, 1.0))
+
+    async def rest(self) -> None:
+        await asyncio.sleep(self.next_us() / 1e6)
+
+
+def decode(body: bytes, kind: type[T]) -> T:
+    """An answer as its type; a malformed one counts as no answer."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise Failed(f"malformed answer: {fault}", sent=True) from None
+
+
+def encode(value: Any) -> bytes:
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/basaltlead/clients/cloud.py
@@ -0,0 +1,50 @@
+"""The cloud: machines by the second."""
+
+from urllib.parse import quote
+
+from basaltlead.clients.base import Budget, Unavailable, decode, encode
+from basaltlead.net.http import Failed, Pool
+from basaltlead.wire.cloud import Hire, MachineType, Names, Page, Rented, Types
+
+
+class NoCapacity(Exception):
+    """None to be had of this type, zone and kind."""
+
+
+class Cloud:
+    def __init__(self, address: str, rps: float) -> None:
+        self.pool = Pool(address, limit=6)
+        self.budget = Budget(max(0.2, rps * 0.75), burst=max(1.0, rps))
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", timeout_us: int = 4_000_000
+    ) -> bytes:
+        await self.budget.take()
+        status, answer = await self.pool.request(method, path, body, timeout_us)
+        if status == 503 and b"no capacity" in answer:
+            raise NoCapacity
+        if status in (429, 503):
+            raise Unavailable(f"cloud: {status}")
+        if status != 200:
+            raise Failed(f"cloud: {status} {answer[:200]!r}", sent=True)
+        return answer
+
+    async def types(self) -> list[MachineType]:
+        return decode(await self._call("GET", "/machine_types"), Types).types
+
+    async def hire(self, request: Hire) -> list[str]:
+        return decode(await self._call("POST", "/machines", encode(request)), Names).machines
+
+    async def delete(self, names: list[str]) -> None:
+        await self._call("POST", "/machines/delete", encode(Names(names)))
+
+    async def machines(self) -> list[Rented]:
+        rented: list[Rented] = []
+        since = ""
+        while True:
+            path = "/machines?Most=500" + (f"&Since={quote(since)}" if since else "")
+            page = decode(await self._call("GET", path), Page)
+            rented += page.machines
+            if not page.more or not page.machines:
+                return rented
+            since = page.machines[-1].name
--- /dev/null
+++ b/basaltlead/clients/state.py
@@ -0,0 +1,140 @@
+"""The state service: a small consistent key-value store."""
+
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from basaltlead.clients.base import Budget, Unavailable, decode, encode
+from basaltlead.net.http import Failed, Pool
+from basaltlead.wire.state import Changes, Drop, Guard, Hold, Outcome, Put, Row, Rows, Transaction
+
+PAGE = 500
+
+
+class Conflict(Exception):
+    """A guard did not hold; `failed` names the keys."""
+
+    def __init__(self, failed: Sequence[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = list(failed)
+
+
+class NoHold(Exception):
+    """The hold has ended."""
+
+
+class TooOld(Exception):
+    """The changes asked for are no longer kept."""
+
+
+class State:
+    """Calls with a deadline each, inside this node's part of the limits.
+
+    Touches of the hold pass the budget by: they must never wait behind other requests.
+    """
+
+    def __init__(self, address: str, rps: float, write_rps: float, nodes: int) -> None:
+        self.pool = Pool(address, limit=24)
+        self.watches = Pool(address, limit=8)
+        self.touches = Pool(address, limit=4)
+        self.requests = Budget(max(1.0, rps * 0.8 / nodes))
+        self.writes = Budget(max(0.5, write_rps * 0.85 * 0.6), burst=max(1.0, write_rps * 0.5))
+
+    def share_writes(self, rate: float) -> None:
+        self.writes = Budget(max(0.5, rate), burst=max(1.0, rate))
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, timeout_us: int = 1_500_000
+    ) -> tuple[int, bytes]:
+        await self.requests.take()
+        raw = b"" if body is None else encode(body)
+        return self._checked(await self.pool.request(method, path, raw, timeout_us))
+
+    @staticmethod
+    def _checked(answer: tuple[int, bytes]) -> tuple[int, bytes]:
+        if answer[0] in (429, 503):
+            raise Unavailable(f"state service: {answer[0]}")
+        return answer
+
+    async def get(self, key: str) -> Row | None:
+        status, body = await self._call("GET", f"/kv/{quote(key)}")
+        if status == 404:
+            decode(body, _Missing)
+            return None
+        if status != 200:
+            raise Failed(f"get: {status}", sent=True)
+        return decode(body, Row)
+
+    async def page(self, prefix: str, since: str = "", most: int = PAGE) -> Rows:
+        path = f"/kv?Starts={quote(prefix, safe='/')}&Most={most}"
+        if since:
+            path += f"&Since={quote(since, safe='/')}"
+        status, body = await self._call("GET", path, timeout_us=2_500_000)
+        if status != 200:
+            raise Failed(f"list: {status}", sent=True)
+        return decode(body, Rows)
+
+    async def rows(self, prefix: str) -> tuple[list[Row], int]:
+        """All rows under a prefix, and a revision from which to watch without a gap."""
+        first = page = await self.page(prefix)
+        rows = list(page.rows)
+        while page.more and page.rows:
+            page = await self.page(prefix, since=page.rows[-1].key)
+            rows += page.rows
+        return rows, first.revision
+
+    async def multi(
+        self, guards: list[Guard], apply: Sequence[Put | Drop], timeout_us: int = 1_500_000
+    ) -> int:
+        """One transaction; its revision. Conflict, NoHold, Unavailable, or Failed if unknown."""
+        await self.writes.take(max(1, len(apply)))
+        status, body = await self._call(
+            "POST", "/multi", Transaction(guards, list(apply)), timeout_us
+        )
+        if status == 200:
+            return decode(body, Outcome).revision
+        if status == 409:
+            raise Conflict(decode(body, Outcome).failed)
+        if status == 400 and b"no such lease" in body:
+            raise NoHold
+        raise Failed(f"multi: {status} {body[:200]!r}", sent=True)
+
+    async def changes(self, prefix: str, since: int, hold_ms: int) -> Changes:
+        await self.requests.take()
+        status, body = self._checked(
+            await self.watches.request(
+                "GET",
+                f"/changes?Starts={quote(prefix, safe='/')}&Since={since}&HoldMs={hold_ms}",
+                timeout_us=hold_ms * 1000 + 2_000_000,
+            )
+        )
+        if status == 410:
+            raise TooOld
+        if status != 200:
+            raise Failed(f"changes: {status}", sent=True)
+        return decode(body, Changes)
+
+    async def hold(self, ttl_us: int) -> int:
+        status, body = self._checked(
+            await self.touches.request("POST", "/holds", encode({"TtlMs": ttl_us // 1000}))
+        )
+        if status not in (200, 201):
+            raise Failed(f"hold: {status}", sent=True)
+        return decode(body, Hold).hold
+
+    async def touch(self, hold: int, timeout_us: int) -> None:
+        status, _ = self._checked(
+            await self.touches.request("POST", f"/holds/{hold}/touch", b"", timeout_us)
+        )
+        if status == 404:
+            raise NoHold
+        if status != 200:
+            raise Failed(f"touch: {status}", sent=True)
+
+
+class _Missing(msgspec.Struct, rename={"revision": "Ledger"}):
+    """The body of the state service's own 404: only that proves that a key is not there."""
+
+    revision: int
--- /dev/null
+++ b/basaltlead/core/block.py
@@ -0,0 +1,738 @@
+"""One block's owner: which tasks are wanted where, what the workers report, and the difference.
+
+The owner's picture of a machine is trusted only from reports that show our baton: the worker
+then drops every order of an earlier owner, so its list is complete but for our own orders.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from msgspec import Struct
+
+from basaltlead.core import gangs, placement
+from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Rest, Room, Work
+
+TOKEN_BITS = 24  # attempts an owner can start under one baton: 16 million
+
+
+class Timing(Struct, frozen=True):
+    """Spans that the platform's settings prescribe."""
+
+    lease_us: int
+    report_us: int
+    gang_peer_us: int
+    gang_wait_us: int
+
+    @property
+    def lapse_us(self) -> int:
+        """After this long without an answer of ours a worker's lease is over for sure: the
+        lease, the drift of both clocks, and a margin for the resolution of timers."""
+        return self.lease_us + self.lease_us // 500 + 250_000
+
+
+class Limits(Struct, frozen=True):
+    """A team's guarantee and limit; 0: none."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Seen(Protocol):
+    """A task in a worker's report."""
+
+    task: str
+    token: int
+    stage: str
+    why: str | None
+    saved: bool | None
+
+
+class Message(Protocol):
+    """A worker's report."""
+
+    machine: str
+    address: str
+    session: int
+    tick: int
+    baton: int
+    recall_s: float | None
+    tasks: list  # type: ignore[type-arg]
+
+
+class Wish(Struct):
+    """An order for a worker."""
+
+    verb: str
+    ref: str
+    index: int
+    token: int
+    grace_s: float | None = None
+
+
+MAX_ORDERS = 250  # in one message: keeps a line far below 64 KiB
+
+
+class Block:
+    def __init__(
+        self, baton: int, stamp: int, now: int, timing: Timing, teams: dict[str, Limits]
+    ) -> None:
+        self.baton = baton
+        self.stamp = stamp  # of the grant: jobs accepted later were never started by others
+        self.took_at = now
+        self.timing = timing
+        self.teams = teams
+        self.sequence = 0
+        self.machines: dict[str, Machine] = {}
+        self.risky: set[str] = set()  # machines that may hold tasks we do not know of
+        self.works: dict[str, Work] = {}
+        self.team_used: dict[str, list[float]] = {}
+        self.ratio: dict[str, float] = {}  # measured run time over the guess, by class
+        self.dirty = True
+        self.gone: dict[str, None] = {}  # names of machines that are deleted (bounded)
+        self.log: Callable[[str], None] = lambda text: None
+
+    # Jobs
+
+    def add_job(self, job: Job, stamp: int, now: int, age_us: int = 0) -> Work:
+        work = self.works.get(job.ref)
+        if work is None:
+            work = self.works[job.ref] = Work(job, stamp, now, age_us)
+            self.dirty = True
+        return work
+
+    def close_job(self, ref: str, now: int) -> None:
+        """Cancelled, or over: nothing of it may start, and what is there must go."""
+        work = self.works.get(ref)
+        if work is None:
+            return
+        work.closed = True
+        for attempt in list(work.live.values()):
+            self.stop(attempt, 0.0)
+        self._prune(work)
+        self.dirty = True
+
+    def _prune(self, work: Work) -> None:
+        if work.closed and not work.live:
+            self.works.pop(work.job.ref, None)
+
+    def stored(self, work: Work, indices: Iterable[int]) -> None:
+        """These results are in the state service: their workers may forget them."""
+        work.unstored.difference_update(indices)
+
+    # Attempts
+
+    def start(self, work: Work, index: int, machine: Machine, token: int, now: int) -> Attempt:
+        attempt = Attempt(work, index, machine, token, now)
+        self._enlist(attempt)
+        return attempt
+
+    def _enlist(self, attempt: Attempt) -> None:
+        work = attempt.work
+        work.live[attempt.index] = attempt
+        attempt.machine.attempts[attempt.key] = attempt
+        attempt.machine.booked += work.bid
+        used = self.team_used.setdefault(work.job.team, [0.0, 0.0])
+        used[0] += work.job.cpus
+        used[1] += work.job.gpus
+
+    def _remove(self, attempt: Attempt, now: int) -> None:
+        """It is provably not on its machine (any more)."""
+        work = attempt.work
+        machine = attempt.machine
+        if work.live.pop(attempt.index, None) is None:
+            return
+        machine.attempts.pop(attempt.key, None)
+        if not machine.attempts:
+            machine.idle_since = now
+        used = self.team_used[work.job.team]
+        used[0] -= work.job.cpus
+        used[1] -= work.job.gpus
+        if not work.closed and not work.is_done(attempt.index):
+            work.again.append(attempt.index)
+        self._prune(work)
+        self.dirty = True
+
+    def stop(self, attempt: Attempt, grace_s: float) -> None:
+        """Want it gone. One that was never sent is gone at once."""
+        if attempt.stage == "planned" and not attempt.flying:
+            self._remove(attempt, attempt.machine.idle_since)
+        elif attempt.grace is None or grace_s < attempt.grace:
+            attempt.grace = grace_s
+        self.dirty = True
+
+    def stop_softly(self, attempt: Attempt) -> None:
+        """Stop it so that its progress is saved if that can be; a gang's tasks go together."""
+        job = attempt.work.job
+        together = list(attempt.work.live.values()) if job.gang else [attempt]
+        running = job.mark_every_us > 0 and all(a.stage == "running" for a in together)
+        for one in together:
+            self.stop(one, job.mark_s if running else 0.0)
+
+    # Machines
+
+    def load_machine(self, machine: Machine) -> None:
+        """One that the state service lists as in use when we take the block."""
+        machine.recorded = True
+        self.machines[machine.name] = machine
+        self.risky.add(machine.name)
+
+    def add_machine(self, machine: Machine) -> None:
+        """One that can't hold any task yet."""
+        self.machines.setdefault(machine.name, machine)
+
+    def drop_machine(self, name: str, now: int) -> None:
+        """It is deleted: everything on it is gone."""
+        machine = self.machines.pop(name, None)
+        self.gone[name] = None
+        while len(self.gone) > 1000:
+            del self.gone[next(iter(self.gone))]
+        if machine is not None:
+            self._empty(machine, now)
+
+    def _empty(self, machine: Machine, now: int) -> None:
+        for attempt in list(machine.attempts.values()):
+            self._remove(attempt, now)
+        machine.rest.clear()
+        self.risky.discard(machine.name)
+        self.dirty = True
+
+    def _lose(self, machine: Machine, now: int) -> None:
+        """Its lease has run out, so it has killed all its tasks. Reports of that session that
+        were held up on their way prove nothing any more."""
+        machine.lost = True
+        machine.synced = False
+        machine.min_session = machine.session + 1 if machine.session else 0
+        machine.images.clear()
+        self._empty(machine, now)
+        self.log(f"machine {machine.name} lost")
+
+    @property
+    def strangers(self) -> bool:
+        """Is there, or may there be, a task on some machine that we do not account for?"""
+        return bool(self.risky) or any(
+            not rest.over for machine in self.machines.values() for rest in machine.rest.values()
+        )
+
+    # Reports
+
+    def beat(self, report: Message, now: int) -> list[Wish] | None:
+        """A report; the orders for its answer, or None when it must not be answered with 200."""
+        machine = self.machines.get(report.machine)
+        if machine is None or report.baton > self.baton:
+            return None
+        if report.session < machine.min_session:
+            return None
+        if (report.session, report.tick) <= (machine.session, machine.beat_tick):
+            return []  # a late copy
+        if report.session > machine.session:
+            self._new_session(machine, report.session, now)
+        machine.beat_tick = report.tick
+        newest = report.tick > machine.tick
+        machine.heard_at = now
+        machine.address = report.address
+        if report.recall_s is not None:
+            recall_at = now + int(max(0.0, report.recall_s) * US)
+            if machine.recall_at is None:
+                self.log(f"machine {machine.name} recalled in {report.recall_s:.1f} s")
+                self.dirty = True
+            machine.recall_at = recall_at
+        elif newest:
+            machine.recall_at = None
+        if report.baton == self.baton:
+            self._apply(machine, report, now, newest=newest, settles=True)
+            machine.tick = max(machine.tick, report.tick)
+        self._drain(machine, now)
+        machine.answered_at = now
+        return self.orders(machine, now)
+
+    def answer(self, report: Message, now: int, executed: bool) -> None:
+        """The answer to a direct order."""
+        machine = self.machines.get(report.machine)
+        if machine is None or report.session < machine.min_session:
+            return
+        if report.session > machine.session:
+            self._new_session(machine, report.session, now)
+        if report.session < machine.session or report.tick <= machine.tick:
+            return
+        if report.baton == self.baton:
+            self._apply(machine, report, now, newest=True, settles=False)
+            machine.tick = report.tick
+
+    def _new_session(self, machine: Machine, session: int, now: int) -> None:
+        known = machine.session
+        if known:  # what ran in the old session was killed when it ended
+            for attempt in list(machine.attempts.values()):
+                if attempt.there or attempt.flying:
+                    self._remove(attempt, now)
+            machine.rest.clear()
+            machine.images.clear()
+        machine.session = session
+        machine.min_session = max(machine.min_session, session)
+        machine.tick = machine.beat_tick = 0
+        machine.lost = False
+        machine.synced = False
+        machine.up = True
+
+    def _apply(
+        self, machine: Machine, report: Message, now: int, newest: bool, settles: bool
+    ) -> None:
+        """Take in a list of tasks from a report that shows our baton."""
+        listed: set[tuple[str, int, int]] = set()
+        for seen in report.tasks:
+            ref, _, number = seen.task.rpartition("/")
+            index = int(number)
+            listed.add((ref, index, seen.token))
+            if not newest:
+                continue
+            attempt = machine.attempts.get((ref, index))
+            if attempt is not None and attempt.token == seen.token:
+                self._progress(attempt, seen, now)
+            else:
+                self._stranger(machine, ref, index, seen, now)
+        if settles:
+            for attempt in list(machine.attempts.values()):
+                if (*attempt.key, attempt.token) not in listed:
+                    self._unlisted(attempt, report.tick, now)
+        if newest:
+            for key in [key for key in machine.rest if key not in listed]:
+                del machine.rest[key]
+        if not machine.synced:
+            machine.synced = True
+            machine.up = True
+            self.risky.discard(machine.name)
+            self.dirty = True
+
+    def _unlisted(self, attempt: Attempt, tick: int, now: int) -> None:
+        """A report without an attempt of ours."""
+        if attempt.flying or attempt.loose or not attempt.there:
+            return  # an unanswered direct order binds its task to the machine
+        if attempt.sent_tick and attempt.sent_tick >= tick:
+            return  # the answer that carried the order came after this report
+        if attempt.stage == "sent" and attempt.grace is None:
+            attempt.stage = "planned"  # the answer was lost: the order goes out again
+            return
+        self._remove(attempt, now)
+
+    def _progress(self, attempt: Attempt, seen: Seen, now: int) -> None:
+        if seen.stage == "ended":
+            self._ended(attempt, seen, now)
+            return
+        if seen.stage in ("running", "saving", "gathering") and attempt.stage not in (
+            "running", "saving", "gathering",
+        ):  # fmt: skip
+            attempt.machine.keep_image(attempt.work.job.image, attempt.work.job.image_gb)
+        if seen.stage == "running" and not attempt.ran_at:
+            attempt.ran_at = now
+            attempt.work.started_at = attempt.work.started_at or now
+        attempt.stage = seen.stage
+
+    def _ended(self, attempt: Attempt, seen: Seen, now: int) -> None:
+        machine, work, why = attempt.machine, attempt.work, seen.why or "error"
+        job = work.job
+        rest = Rest(over=True, forgettable=why != "done", loose=attempt.loose or attempt.flying)
+        machine.rest[(*attempt.key, attempt.token)] = rest
+        if why == "done":
+            machine.faults.clear()
+            if (attempt.ran_at and not job.gang and not work.closed) or (
+                attempt.ran_at and not work.closed and not work.done_count
+            ):
+                self._learn(job, now - attempt.ran_at)
+            self._result(work, attempt.index)
+        self._remove(attempt, now)
+        if why == "done" or work.closed:
+            return
+        if why == "error":
+            self._failed(machine, work, now)
+        elif why == "full":
+            machine.avoid_until = now + 2 * US
+        elif why == "no_such":
+            # The user may still be uploading the job; if not, asking often helps nobody.
+            work.failures += 1
+            work.hold_until = now + min(30, 1 << min(work.failures, 5)) * US
+        elif why == "in_use":
+            machine.avoid_until = now + 1 * US
+        if job.gang and why in ("peers", "incomplete", "error", "full", "no_such", "in_use"):
+            for other in list(work.live.values()):  # the attempt is lost: clear it away
+                self.stop(other, 0.0)
+
+    def _result(self, work: Work, index: int) -> None:
+        """A gang's tasks complete together: one result is everybody's."""
+        for one in range(work.job.tasks) if work.job.gang else (index,):
+            work.finish(one)
+
+    def _failed(self, machine: Machine, work: Work, now: int) -> None:
+        """Mostly the machine is faulty; a job that fails on several is itself at fault."""
+        work.failures += 1
+        work.failed_on.add(machine.name)
+        if len(work.failed_on) >= 3 and not work.done_count:
+            work.hold_until = now + min(60, 1 << min(work.failures, 6)) * US
+            return
+        machine.faults.add(work.job.ref)
+        machine.avoid_until = now + 4 * US * len(machine.faults)
+        if len(machine.faults) >= 2:
+            machine.draining = True
+            self.log(f"machine {machine.name} is faulty: {sorted(machine.faults)} failed on it")
+
+    def _learn(self, job: Job, ran_us: int) -> None:
+        if job.guess_us > 0:
+            ratio = min(8.0, max(0.1, ran_us / job.guess_us))
+            old = self.ratio.get(job.lane)
+            self.ratio[job.lane] = ratio if old is None else old * 0.95 + ratio * 0.05
+
+    def _stranger(self, machine: Machine, ref: str, index: int, seen: Seen, now: int) -> None:
+        """A listed attempt that we did not start, or no longer want."""
+        key = (ref, index, seen.token)
+        work = self.works.get(ref)
+        over = seen.stage == "ended"
+        rest = machine.rest.get(key)
+        if rest is None:
+            rest = machine.rest[key] = Rest(over, False)
+        rest.over = over
+        if work is None or work.closed or index >= work.job.tasks:
+            rest.forgettable = over
+            return
+        if over:
+            if seen.why == "done":
+                self._result(work, index)
+            else:
+                rest.forgettable = True
+            return
+        if index not in work.live and not work.is_done(index) and not machine.synced:
+            # Started by the block's last owner, and still wanted: it goes on under its number.
+            del machine.rest[key]
+            attempt = Attempt(work, index, machine, seen.token, now)
+            attempt.stage = "sent"
+            self._enlist(attempt)
+            work.token = max(work.token, seen.token)
+            self._progress(attempt, seen, now)
+
+    # Orders
+
+    def orders(self, machine: Machine, now: int) -> list[Wish]:
+        """What the machine must be told, given what it last reported."""
+        if not machine.synced or machine.deleting:
+            return []
+        out: list[Wish] = []
+        for (ref, index, token), rest in machine.rest.items():
+            if not rest.over:
+                out.append(Wish("halt", ref, index, token, 0.0))
+            elif not rest.loose and (rest.forgettable or self._kept(ref, index)):
+                out.append(Wish("forget", ref, index, token))
+        for attempt in list(machine.attempts.values()):
+            if attempt.grace is not None:
+                if attempt.stage == "sent" and attempt.loose:
+                    out.append(self._wish("run", attempt, None))
+                if attempt.stage == "saving" and attempt.grace > 0:
+                    continue
+                if attempt.stage != "sent" or attempt.loose:
+                    out.append(self._wish("halt", attempt, attempt.grace))
+        for attempt in self.startable(machine, now):
+            attempt.stage = "sent"
+            attempt.sent_tick = machine.beat_tick
+            out.append(self._wish("run", attempt, None))
+        return out[:MAX_ORDERS]
+
+    def startable(self, machine: Machine, now: int) -> list[Attempt]:
+        """Wishes that may go out now: there is room beside all that may be on the machine."""
+        waiting = [
+            a for a in machine.attempts.values()
+            if a.grace is None and a.stage in ("planned", "sent") and not a.flying
+        ]  # fmt: skip
+        if not waiting or machine.lost or not machine.recorded:
+            return []
+        room = machine.room(staying=False)
+        out = []
+        for attempt in sorted(waiting, key=lambda a: -a.work.job.rank):
+            if attempt.stage == "sent":
+                out.append(attempt)
+            elif room.fits(attempt.work.job) and not machine.has_rest(attempt.key):
+                room.take(attempt.work.job)
+                out.append(attempt)
+        return out[:MAX_ORDERS]
+
+    @staticmethod
+    def _wish(verb: str, attempt: Attempt, grace_s: float | None) -> Wish:
+        return Wish(verb, attempt.work.job.ref, attempt.index, attempt.token, grace_s)
+
+    def _kept(self, ref: str, index: int) -> bool:
+        """Is the result stored? Results of jobs that are over need none."""
+        work = self.works.get(ref)
+        return work is None or work.closed or (
+            index < work.job.tasks and work.is_done(index) and index not in work.unstored
+        )  # fmt: skip
+
+    # Time
+
+    def tick(self, now: int) -> None:
+        """What changes by the mere passing of time."""
+        for machine in list(self.machines.values()):
+            since = max(machine.answered_at, self.took_at)
+            if not machine.lost and now - since > self.timing.lapse_us:
+                if machine.up or machine.name in self.risky:
+                    self._lose(machine, now)
+            else:
+                self._drain(machine, now)
+
+    def _drain(self, machine: Machine, now: int) -> None:
+        """Move work off a machine that will be taken away, saving what can be saved."""
+        if machine.recall_at is None and not machine.draining:
+            return
+        left_us = None if machine.recall_at is None else machine.recall_at - now
+        for attempt in list(machine.attempts.values()):
+            if attempt.grace is not None:
+                continue
+            job = attempt.work.job
+            if attempt.stage in ("planned", "fetching", "gathering"):
+                self.stop(attempt, 0.0)
+            elif job.mark_every_us > 0 and attempt.stage == "running":
+                need_us = int(job.mark_s * US) + 2 * self.timing.report_us + US
+                if left_us is None or left_us <= need_us:
+                    self.stop_softly(attempt)
+            elif machine.draining and machine.faults:
+                self.stop(attempt, 0.0)
+
+    # Planning
+
+    def within_limit(self, job: Job, count: int = 1) -> bool:
+        """May the team have that many more tasks of the job, counting all that may be there?"""
+        team = self.teams.get(job.team, Limits())
+        if not team.cpus_max and not team.gpus_max:
+            return True
+        if self.strangers:
+            return False
+        used = self.team_used.get(job.team, [0.0, 0.0])
+        return not (
+            (team.cpus_max and used[0] + job.cpus * count > team.cpus_max + 1e-6)
+            or (team.gpus_max and used[1] + job.gpus * count > team.gpus_max + 1e-6)
+        )
+
+    def guaranteed(self, work: Work) -> bool:
+        """Does the job fit into its team's guarantee beside what the team uses?"""
+        team = self.teams.get(work.job.team, Limits())
+        if not team.cpus and not team.gpus:
+            return False
+        used = self.team_used.get(work.job.team, [0.0, 0.0])
+        count = work.job.tasks if work.job.gang else 1
+        return (
+            used[0] + work.job.cpus * count <= team.cpus + 1e-6
+            and used[1] + work.job.gpus * count <= team.gpus + 1e-6
+        )
+
+    def blocked(self, work: Work, now: int) -> bool:
+        """May none of its tasks be started now? Until every machine that might hold a task
+        has shown our baton, only jobs that no earlier owner can have started are free."""
+        return (
+            work.closed or now < work.hold_until or (work.stamp <= self.stamp and bool(self.risky))
+        )
+
+    def order(self, now: int) -> list[Work]:
+        """Open jobs with waiting tasks, in the order in which they are started: guarantees,
+        rank, the team furthest below its share, the higher bid, the older."""
+        shares: dict[str, float] = {}
+        for work in self.works.values():
+            if not work.closed:
+                shares[work.job.team] = shares.get(work.job.team, 0.0) + work.bid
+        total = sum(shares.values()) or 1.0
+        in_use = sum(used[0] for used in self.team_used.values()) or 1.0
+
+        def excess(team: str) -> float:
+            used = self.team_used.get(team, [0.0, 0.0])[0] / in_use
+            return used - shares.get(team, 0.0) / total
+
+        ready = [w for w in self.works.values() if w.waiting > 0 and not self.blocked(w, now)]
+        return sorted(
+            ready,
+            key=lambda w: (
+                not self.guaranteed(w), -w.job.rank, excess(w.job.team), -w.bid, w.asked_at,
+            ),
+        )  # fmt: skip
+
+    def plan(self, now: int) -> None:
+        """Bind waiting tasks to machines, in start order."""
+        self.dirty = False
+        usable = [m for m in self.machines.values() if m.usable(now)]
+        if not usable:
+            return
+        rooms = {machine.name: machine.room(staying=True) for machine in usable}
+        for machine in usable:
+            machine.booked = sum(a.work.bid for a in machine.attempts.values() if a.grace is None)
+        works = self.order(now)
+        for work in works:
+            if work.job.gang:
+                self._plan_gang(work, usable, rooms, now)
+            elif work.slots is None or len(work.live) < work.slots:
+                limit = work.waiting if work.slots is None else work.slots - len(work.live)
+                self._plan_tasks(work, usable, rooms, now, limit)
+        for work in works:  # nothing stays idle while somebody waits
+            if not work.job.gang and work.slots is not None:
+                self._plan_tasks(work, usable, rooms, now, work.waiting)
+
+    def _token(self) -> int:
+        self.sequence += 1
+        return (self.baton << TOKEN_BITS) | self.sequence
+
+    def _plan_tasks(
+        self, work: Work, usable: list[Machine], rooms: dict[str, Room], now: int, limit: int
+    ) -> None:
+        zones = {machine.zone for machine in usable}
+        suited = [
+            m for m in usable
+            if placement.allowed(work.job, m.kind.name, m.zone, m.spot)
+            and m.name not in work.failed_on
+        ]  # fmt: skip
+        for _ in range(min(limit, 2000)):
+            if not self.within_limit(work.job):
+                return
+            open_zones = placement.zones_open(work, zones)
+            machine = placement.choose(work, suited, rooms, open_zones)
+            stops: list[Attempt] = []
+            if machine is None:
+                found = self._make_room(work, suited, open_zones, now)
+                if found is None:
+                    return
+                machine, stops = found
+            index = work.next_index()
+            if index is None:
+                return
+            for attempt in stops:
+                self.stop_softly(attempt)
+            self.start(work, index, machine, self._token(), now)
+            rooms[machine.name] = machine.room(staying=True) if stops else rooms[machine.name]
+            if not stops:
+                rooms[machine.name].take(work.job)
+
+    def _plan_gang(
+        self, work: Work, usable: list[Machine], rooms: dict[str, Room], now: int
+    ) -> None:
+        job = work.job
+        if work.live:
+            self._complete_gang(work, usable, rooms, now)
+            return
+        if not self.within_limit(job, job.tasks):
+            return
+        suited = [
+            m for m in usable
+            if placement.allowed(job, m.kind.name, m.zone, m.spot)
+            and m.name not in work.failed_on
+        ]  # fmt: skip
+        chosen = gangs.place(work, suited, rooms)
+        if chosen is None:
+            chosen = self._make_gang_room(work, suited, now)
+            if chosen is None:
+                return
+        work.token = self._token()
+        work.again.clear()
+        work.fresh = job.tasks
+        for index, machine in enumerate(chosen):
+            self.start(work, index, machine, work.token, now)
+        for machine in chosen:
+            rooms[machine.name] = machine.room(staying=True)
+
+    def _complete_gang(
+        self, work: Work, usable: list[Machine], rooms: dict[str, Room], now: int
+    ) -> None:
+        """Replace lost tasks of a gang that has not started yet, under the same attempt."""
+        live = list(work.live.values())
+        token = live[0].token
+        if any(
+            a.grace is not None or a.token != token or a.stage in ("running", "saving")
+            for a in live
+        ):
+            return  # they exit, then the gang is placed anew
+        zones = {machine.zone for machine in usable}
+        for index in range(work.job.tasks):
+            if index in work.live:
+                continue
+            if not self.within_limit(work.job):
+                return
+            open_zones = placement.zones_open(work, zones)
+            machine = placement.choose(work, usable, rooms, open_zones)
+            if machine is None:
+                return
+            self.start(work, index, machine, token, now)
+            rooms[machine.name].take(work.job)
+
+    # Preemption
+
+    def _may_stop(self, job: Job, within: bool, victim: Work) -> bool:
+        if victim.job.rank < job.rank:
+            return True
+        if not within or victim.job.team == job.team:
+            return False
+        team = self.teams.get(victim.job.team, Limits())
+        used = self.team_used.get(victim.job.team, [0.0, 0.0])
+        return used[0] > team.cpus + 1e-6 or used[1] > team.gpus + 1e-6
+
+    def _make_room(
+        self, work: Work, suited: list[Machine], zones: set[str], now: int
+    ) -> tuple[Machine, list[Attempt]] | None:
+        """The machine on which stopping others of lower rank wastes least."""
+        job = work.job
+        within = self.guaranteed(work)
+        if job.rank < 2 and not within:
+            return None  # ordinary work waits for what is rented for it
+        best: tuple[float, str, Machine, list[Attempt]] | None = None
+        for machine in suited:
+            if machine.zone not in zones:
+                continue
+            found = placement.victims(
+                job, machine, now, lambda other: self._may_stop(job, within, other)
+            )
+            if found is not None and (best is None or (found[0], machine.name) < best[:2]):
+                best = (found[0], machine.name, machine, found[1])
+        return None if best is None else (best[2], best[3])
+
+    def _make_gang_room(self, work: Work, suited: list[Machine], now: int) -> list[Machine] | None:
+        """Room for a whole gang by stopping work of lower rank: only if all of it fits."""
+        job = work.job
+        within = self.guaranteed(work)
+        rooms: dict[str, Room] = {}
+        stops: dict[str, list[Attempt]] = {}
+        for machine in suited:
+            room = machine.room(staying=True)
+            stops[machine.name] = [
+                a for a in machine.attempts.values()
+                if a.grace is None and self._may_stop(job, within, a.work)
+            ]  # fmt: skip
+            for attempt in stops[machine.name]:
+                room.take(attempt.work.job, -1)
+            rooms[machine.name] = room
+        cheapest = sorted(suited, key=lambda m: sum(placement.loss(a, now) for a in stops[m.name]))
+        # Offer as few machines as hold the gang, those with least to lose first.
+        for count in range(1, len(cheapest) + 1):
+            offered = cheapest[:count]
+            if sum(m.kind.holds(job) for m in offered) < job.tasks:
+                continue
+            chosen = gangs.place(work, offered, rooms)
+            if chosen is None:
+                continue
+            for machine in {m.name: m for m in chosen}.values():
+                need = [m.name for m in chosen].count(machine.name)
+                self._clear(machine, job, need, stops[machine.name], now)
+            return chosen
+        return None
+
+    def _clear(
+        self, machine: Machine, job: Job, count: int, stops: list[Attempt], now: int
+    ) -> None:
+        room = machine.room(staying=True)
+        for attempt in sorted(stops, key=lambda a: (a.work.job.rank, placement.loss(a, now))):
+            trial = room.copy()
+            trial.take(job, count - 1)
+            if trial.fits(job):
+                return
+            if attempt.grace is None:
+                self.stop_softly(attempt)
+                room = machine.room(staying=True)
+
+    # For the market and the fleet
+
+    def guess_us(self, job: Job) -> int:
+        """How long a task will run, by the owner's guess and what its class has shown."""
+        return max(US, int(job.guess_us * self.ratio.get(job.lane, 1.0)))
+
+
+def kind_map(kinds: Iterable[Kind]) -> dict[str, Kind]:
+    return {kind.name: kind for kind in kinds}
--- /dev/null
+++ b/basaltlead/core/leadership.py
@@ -0,0 +1,76 @@
+"""Who leads and who owns which block, read off the records in the state service.
+
+A right belongs to one incarnation of one member. It has provably ended once the member's key is
+gone (its hold ran out) or names another incarnation (the process restarted). Every claim is
+guarded on the very keys that prove this, so a claim from an old picture fails.
+"""
+
+from msgspec import Struct
+
+PREFIX = "c/"
+LEADER = "c/leader"
+BATON = "c/baton"
+
+
+def member_key(name: str) -> str:
+    return f"c/member/{name}"
+
+
+def block_key(block: int) -> str:
+    return f"c/block/{block}"
+
+
+class Claim(Struct):
+    """The value of the leader's key and of member keys."""
+
+    name: str
+    life: str  # the incarnation
+
+
+class Grant(Struct):
+    """The value of a block's key."""
+
+    name: str
+    life: str
+    baton: int
+
+
+class Counter(Struct):
+    last: int
+
+
+class Cluster:
+    """The picture: values and stamps of the keys under PREFIX."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, tuple[Claim, int]] = {}
+        self.leader: tuple[Claim, int] | None = None
+        self.blocks: dict[int, tuple[Grant, int]] = {}
+        self.baton: tuple[Counter, int] | None = None
+
+    def lives(self, name: str, life: str) -> bool:
+        member = self.members.get(name)
+        return member is not None and member[0].life == life
+
+    def member_stamp(self, name: str) -> int:
+        member = self.members.get(name)
+        return member[1] if member is not None else 0
+
+    @property
+    def leader_lives(self) -> bool:
+        return self.leader is not None and self.lives(self.leader[0].name, self.leader[0].life)
+
+    def orphans(self, count: int) -> list[int]:
+        """Blocks without a living owner."""
+        out = []
+        for block in range(count):
+            held = self.blocks.get(block)
+            if held is None or not self.lives(held[0].name, held[0].life):
+                out.append(block)
+        return out
+
+
+def right_end(sent_us: int, ttl_us: int) -> int:
+    """Until when a touch sent at `sent_us` provably keeps a hold: less the drift of our clock
+    against the state service's, and less the resolution of timers."""
+    return sent_us + ttl_us - ttl_us // 500 - 20_000
--- /dev/null
+++ b/basaltlead/core/market.py
@@ -0,0 +1,134 @@
+"""The rounds: budgets are refilled, bids follow progress, the auction gives out slots."""
+
+from msgspec import Struct
+
+from basaltlead.core.auction import Bid, clear, price
+from basaltlead.core.bidding import Budget, Trend, ceiling, vertical
+from basaltlead.core.block import Block
+from basaltlead.core.model import US, Work
+
+SMOOTH = 0.5  # weight of the newest round in the measured rate
+
+
+class Terms(Struct, frozen=True):
+    """What operators may set."""
+
+    round_us: int
+    refill_us: int
+    budget: float
+    reserve: float
+    threshold: float
+
+
+class TeamRecord(Struct):
+    """What is stored for each team each round, so that a new leader goes on from it."""
+
+    left: float
+    bids: dict[str, float] = {}
+
+
+class Market:
+    def __init__(self, terms: Terms, teams: list[str], targets: dict[str, int]) -> None:
+        self.terms = terms
+        self.budgets = {team: Budget(terms.budget, terms.refill_us, terms.budget) for team in teams}
+        self.targets = targets  # by class: within how long its jobs should be finished
+        self.trends: dict[str, Trend] = {}
+        self.old_bids: dict[str, float] = {}
+        self.price = 0.0
+        self.last_us: int | None = None
+
+    def load(self, team: str, record: TeamRecord) -> None:
+        if team in self.budgets:
+            budget = self.budgets[team]
+            budget.left = min(budget.first, max(0.0, record.left))
+            self.old_bids.update(record.bids)
+
+    def record(self, team: str, works: dict[str, Work]) -> TeamRecord:
+        bids = {w.job.ref: round(w.bid, 4) for w in works.values() if w.job.team == team}
+        return TeamRecord(round(self.budgets[team].left, 3), dict(list(bids.items())[:60]))
+
+    def due_us(self, work: Work) -> int | None:
+        """When the job should be done: its own deadline, or what its class is promised."""
+        if work.job.due_us is not None:
+            return work.asked_at + work.job.due_us
+        target = self.targets.get(work.job.lane)
+        return None if target is None else work.asked_at + target
+
+    def first_bid(self, work: Work, now: int) -> float:
+        """A new job bids what gets it the wanted slots at the present price."""
+        known = self.old_bids.pop(work.job.ref, None)
+        if known is not None:
+            return known
+        wanted = self.price * max(work.job.cpus, 0.1) * work.remaining
+        return min(max(self.terms.reserve, wanted), max(self.terms.reserve, self._most(work, now)))
+
+    def _most(self, work: Work, now: int) -> float:
+        budget = self.budgets.get(work.job.team)
+        if budget is None:
+            return self.terms.reserve
+        span = self.terms.refill_us
+        if work.job.due_us is not None:
+            span = max(self.terms.round_us, work.asked_at + work.job.due_us - now)
+        return ceiling(budget.left, span, self.terms.round_us)
+
+    def round(self, block: Block, now: int) -> None:
+        """One round of the market over the open jobs of a block."""
+        span = self.terms.round_us if self.last_us is None else max(1, now - self.last_us)
+        self.last_us = now
+        works = [w for w in block.works.values() if not w.closed]
+        for budget in self.budgets.values():
+            budget.refill(span)
+        bids: list[Bid[str]] = []
+        for work in works:
+            if work.bid <= 0:
+                work.bid = self.first_bid(work, now)
+            rate = work.finished_recent / (span / US)
+            work.finished_recent = 0
+            work.rate = work.rate * (1 - SMOOTH) + rate * SMOOTH
+            if work.job.due_us is not None:
+                left_s = max(1.0, (work.asked_at + work.job.due_us - now) / US)
+                value, wanted = work.rate, work.remaining / left_s
+            else:
+                value, wanted = float(len(work.live)), float(work.remaining)
+            trend = self.trends.setdefault(work.job.ref, Trend())
+            work.bid = vertical(
+                work.bid, value, wanted, trend,
+                self.terms.reserve, self._most(work, now), self.terms.threshold,
+            )  # fmt: skip
+            bids.append(Bid(work.job.ref, work.bid, max(work.job.cpus, 0.1), work.remaining))
+        open_refs = {work.job.ref for work in works}
+        self.trends = {ref: trend for ref, trend in self.trends.items() if ref in open_refs}
+        capacity = sum(m.kind.cpus for m in block.machines.values() if m.up and not m.lost)
+        slots = clear(bids, capacity)
+        self.price = price(bids, capacity)
+        for work in works:
+            work.slots = None if work.job.gang else slots[work.job.ref]
+            if work.job.team in self.budgets and work.live:
+                self.budgets[work.job.team].pay(work.bid)
+        block.dirty = True
+
+    def wanted(self, work: Work, block: Block, now: int, lead_us: int) -> int:
+        """How many tasks should run now for the job to be done in time.
+
+        A margin covers what goes wrong; a job without a promise takes all it can.
+        """
+        remaining = work.remaining
+        if work.job.gang:
+            return remaining
+        due = self.due_us(work)
+        if due is None:
+            return remaining
+        each = block.guess_us(work.job)
+        left = int((due - now) * 0.75) - lead_us
+        if left <= each:
+            return remaining
+        return min(remaining, max(1, -(-remaining // max(1, left // each))))
+
+
+def targets_of(objectives: list[tuple[str, str, int]]) -> dict[str, int]:
+    """The tightest finish promised to each class."""
+    out: dict[str, int] = {}
+    for kind, lane, within_us in objectives:
+        if kind == "finished" and within_us > 0:
+            out[lane] = min(within_us, out.get(lane, within_us))
+    return out
--- /dev/null
+++ b/basaltlead/core/model.py
@@ -0,0 +1,263 @@
+"""The scheduler's own terms: jobs, machine types, attempts, machines. Times are microseconds."""
+
+from msgspec import Struct
+
+US = 1_000_000
+EPS = 1e-6
+
+RANKS = {"best_effort": 0, "standard": 1, "high": 2, "production": 3}
+
+
+class Job(Struct, frozen=True):
+    """What a user asked for."""
+
+    ref: str
+    lane: str
+    team: str
+    gang: bool
+    rank: int
+    tasks: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: str
+    image_gb: float
+    types: frozenset[str] | None
+    zone: str | None
+    one_zone: bool
+    apart: bool
+    spot: bool
+    guess_us: int
+    mark_every_us: int
+    mark_s: float
+    due_us: int | None  # from its submission
+
+    @property
+    def zone_cap(self) -> int:
+        """How many of its tasks one zone may hold."""
+        return (self.tasks + 1) // 2 if self.apart else self.tasks
+
+
+class Kind(Struct, frozen=True):
+    """A machine type."""
+
+    name: str
+    cpus: float
+    gpus: float
+    memory_gb: float
+    price: float
+    spot_price: float | None
+    boot_us: int
+    cache_gb: float
+    pull_gb_per_s: float
+    zones: tuple[str, ...]
+
+    def holds(self, job: Job) -> int:
+        """How many tasks of a job fit on an empty machine."""
+        most = float(job.tasks)
+        for need, have in (
+            (job.cpus, self.cpus), (job.gpus, self.gpus), (job.memory_gb, self.memory_gb),
+        ):  # fmt: skip
+            if need > EPS:
+                most = min(most, (have + EPS) // need)
+        return int(most)
+
+
+def allowed(job: Job, kind: str, zone: str, spot: bool) -> bool:
+    """May a task of the job be on such a machine at all?"""
+    return (
+        (job.types is None or kind in job.types)
+        and (job.zone is None or job.zone == zone)
+        and (job.spot or not spot)
+    )
+
+
+class Room:
+    """Amounts of the three resources."""
+
+    __slots__ = ("cpus", "gpus", "memory_gb")
+
+    def __init__(self, cpus: float, gpus: float, memory_gb: float) -> None:
+        self.cpus = cpus
+        self.gpus = gpus
+        self.memory_gb = memory_gb
+
+    def fits(self, job: Job) -> bool:
+        return (
+            job.cpus <= self.cpus + EPS
+            and job.gpus <= self.gpus + EPS
+            and job.memory_gb <= self.memory_gb + EPS
+        )
+
+    def take(self, job: Job, times: int = 1) -> None:
+        self.cpus -= job.cpus * times
+        self.gpus -= job.gpus * times
+        self.memory_gb -= job.memory_gb * times
+
+    def copy(self) -> "Room":
+        return Room(self.cpus, self.gpus, self.memory_gb)
+
+    @staticmethod
+    def of(kind: Kind) -> "Room":
+        return Room(kind.cpus, kind.gpus, kind.memory_gb)
+
+
+class Attempt:
+    """One start of one task on one machine, from the wish until it is provably gone."""
+
+    __slots__ = (
+        "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick", "since", "stage",
+        "token", "work",
+    )  # fmt: skip
+
+    def __init__(self, work: "Work", index: int, machine: "Machine", token: int, now: int) -> None:
+        self.work = work
+        self.index = index
+        self.machine = machine
+        self.token = token
+        self.stage = "planned"  # planned, sent, then what the worker reports
+        self.grace: float | None = None  # not None: it is to stop
+        self.sent_tick = 0  # the report whose answer carried the order last
+        self.flying = False  # a direct order is unanswered so far
+        self.loose = False  # a direct order was never answered: a copy may still arrive
+        self.since = now
+        self.ran_at = 0
+
+    @property
+    def key(self) -> tuple[str, int]:
+        return (self.work.job.ref, self.index)
+
+    @property
+    def there(self) -> bool:
+        """May it be on its machine?"""
+        return self.stage != "planned"
+
+
+class Rest:
+    """An attempt that is over, or that nobody wants, still listed by its worker."""
+
+    __slots__ = ("forgettable", "loose", "over")
+
+    def __init__(self, over: bool, forgettable: bool, loose: bool = False) -> None:
+        self.over = over
+        self.forgettable = forgettable
+        self.loose = loose
+
+
+class Machine:
+    """A rented machine as its block's owner sees it."""
+
+    def __init__(self, name: str, kind: Kind, zone: str, spot: bool, now: int) -> None:
+        self.name = name
+        self.kind = kind
+        self.zone = zone
+        self.spot = spot
+        self.address = ""
+        self.session = 0
+        self.tick = 0  # of the newest message
+        self.beat_tick = 0  # of the newest report
+        self.min_session = 0  # older sessions are over
+        self.synced = False  # has shown that it knows our baton
+        self.recorded = False  # stands in the state service: tasks may be started
+        self.up = False
+        self.lost = False
+        self.draining = False
+        self.deleting = False
+        self.made_at = now
+        self.heard_at = 0
+        self.answered_at = now
+        self.recall_at: int | None = None
+        self.idle_since = now
+        self.avoid_until = 0
+        self.faults: set[str] = set()  # jobs that failed here since the last success
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.rest: dict[tuple[str, int, int], Rest] = {}
+        self.images: dict[str, float] = {}
+        self.booked = 0.0  # sum of the bids of its tasks
+
+    def usable(self, now: int) -> bool:
+        return (
+            self.synced and self.recorded and not self.lost and not self.draining
+            and not self.deleting and self.recall_at is None and now >= self.avoid_until
+        )  # fmt: skip
+
+    def room(self, staying: bool) -> Room:
+        """What is free; `staying` counts wishes and passes over those that are to stop."""
+        room = Room.of(self.kind)
+        for attempt in self.attempts.values():
+            if (attempt.grace is None) if staying else attempt.there:
+                room.take(attempt.work.job)
+        return room
+
+    def has_rest(self, key: tuple[str, int]) -> bool:
+        return any(rest[:2] == key for rest in self.rest)
+
+    def keep_image(self, image: str, size_gb: float) -> None:
+        """Note an image as the most recently used, as the worker's cache does."""
+        self.images.pop(image, None)
+        self.images[image] = size_gb
+        while sum(self.images.values()) > self.kind.cache_gb and len(self.images) > 1:
+            del self.images[next(iter(self.images))]
+
+
+class Work:
+    """An open job as its owner sees it."""
+
+    def __init__(self, job: Job, stamp: int, now: int, age_us: int) -> None:
+        self.job = job
+        self.stamp = stamp
+        self.asked_at = now - age_us
+        self.done = bytearray((job.tasks + 7) // 8)
+        self.done_count = 0
+        self.unstored: set[int] = set()
+        self.fresh = 0  # tasks from here on were never looked at
+        self.again: list[int] = []
+        self.live: dict[int, Attempt] = {}
+        self.token = 0  # a gang's attempt
+        self.started_at = 0
+        self.closed = False  # cancelled or over: nothing may start
+        self.hold_until = 0
+        self.failures = 0
+        self.failed_on: set[str] = set()
+        self.bid = 0.0
+        self.slots: int | None = None
+        self.finished_recent = 0
+        self.rate = 0.0
+
+    def is_done(self, index: int) -> bool:
+        return bool(self.done[index >> 3] >> (index & 7) & 1)
+
+    def finish(self, index: int) -> bool:
+        if index >= self.job.tasks or self.is_done(index):
+            return False
+        self.done[index >> 3] |= 1 << (index & 7)
+        self.done_count += 1
+        self.finished_recent += 1
+        self.unstored.add(index)
+        return True
+
+    @property
+    def complete(self) -> bool:
+        return self.done_count >= self.job.tasks
+
+    @property
+    def remaining(self) -> int:
+        return self.job.tasks - self.done_count
+
+    @property
+    def waiting(self) -> int:
+        """Tasks neither done nor on a machine nor bound to one."""
+        return self.remaining - sum(1 for index in self.live if not self.is_done(index))
+
+    def next_index(self) -> int | None:
+        """A task to start next; repeated ones first."""
+        while self.again:
+            index = self.again.pop()
+            if index not in self.live and not self.is_done(index):
+                return index
+        while self.fresh < self.job.tasks:
+            index = self.fresh
+            self.fresh += 1
+            if index not in self.live and not self.is_done(index):
+                return index
+        return None
--- /dev/null
+++ b/basaltlead/core/placement.py
@@ -0,0 +1,70 @@
+"""Which machine a task goes to: worst fit by booked bids, among the machines that suit it best."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from basaltlead.core.model import Attempt, Job, Machine, Room, Work, allowed
+
+
+def zones_open(work: Work, zones: Iterable[str]) -> set[str]:
+    """Zones in which one more task of the job may start, given the tasks it has anywhere."""
+    job = work.job
+    if not (job.one_zone or job.apart):
+        return set(zones)
+    held = Counter(attempt.machine.zone for attempt in work.live.values())
+    if job.one_zone and held:
+        return set(held) if len(held) == 1 else set()
+    return {zone for zone in zones if held[zone] < job.zone_cap}
+
+
+def tier(job: Job, machine: Machine) -> tuple[int, int]:
+    """Lower is better. A machine that has the image starts the task at once; one that already
+    has work stays rented anyway, so filling it lets others empty and be returned."""
+    return (0 if job.image in machine.images else 1, 0 if machine.attempts else 1)
+
+
+def choose(
+    work: Work, machines: Iterable[Machine], rooms: dict[str, Room], zones: set[str]
+) -> Machine | None:
+    """The machine for one task: least booked bids within the best tier (the paper's worst fit)."""
+    job = work.job
+    best: Machine | None = None
+    best_key: tuple[tuple[int, int], float, str] | None = None
+    for machine in machines:
+        if (
+            machine.zone not in zones
+            or not rooms[machine.name].fits(job)
+            or not allowed(job, machine.kind.name, machine.zone, machine.spot)
+        ):
+            continue
+        key = (tier(job, machine), machine.booked, machine.name)
+        if best_key is None or key < best_key:
+            best, best_key = machine, key
+    return best
+
+
+def loss(attempt: Attempt, now: int) -> float:
+    """What stopping an attempt would waste, in CPU seconds."""
+    job = attempt.work.job
+    if attempt.stage in ("planned", "sent", "fetching", "gathering"):
+        return 0.0
+    lost_us = now - attempt.ran_at if not job.mark_every_us else int(job.mark_s * 1e6)
+    return max(0, lost_us) / 1e6 * max(job.cpus, 0.1)
+
+
+def victims(
+    job: Job, machine: Machine, now: int, may_stop: Callable[[Work], bool]
+) -> tuple[float, list[Attempt]] | None:
+    """The attempts to stop so that a task of the job fits on the machine, and the loss."""
+    room = machine.room(staying=True)
+    chosen: list[Attempt] = []
+    total = 0.0
+    lower = [a for a in machine.attempts.values() if a.grace is None and may_stop(a.work)]
+    lower.sort(key=lambda a: (a.work.job.rank, loss(a, now)))
+    for attempt in lower:
+        if room.fits(job):
+            break
+        room.take(attempt.work.job, -1)
+        chosen.append(attempt)
+        total += loss(attempt, now)
+    return (total, chosen) if room.fits(job) else None
--- /dev/null
+++ b/basaltlead/frontdesk.py
@@ -0,0 +1,207 @@
+"""Users: submit, poll, cancel. Whatever is told was stored, or read, before."""
+
+import re
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from basaltlead.clients.base import Unavailable, encode
+from basaltlead.clients.state import Conflict, NoHold, State
+from basaltlead.core.block import Limits
+from basaltlead.core.model import Kind
+from basaltlead.logs import Brake, log
+from basaltlead.membership import Membership, now_us
+from basaltlead.net.http import Failed, Request, Response
+from basaltlead.net.limiter import Limiter
+from basaltlead.records import (
+    OPEN,
+    OVER,
+    STRETCH,
+    Final,
+    Progress,
+    StoredJob,
+    job_of,
+    split_open,
+)  # fmt: skip
+from basaltlead.wire.state import Drop, Guard, Put, Row
+from basaltlead.wire.users import REF, JobAnswer, Refusal, Submission
+
+T = TypeVar("T")
+
+KNOWN_REF = re.compile(REF)
+FINALS_KEPT = 5000
+LATER = "Retry-After: 1\r\n"
+
+
+def refusal(status: int, text: str, headers: str = "") -> Response:
+    return Response(status, encode(Refusal(text)), headers)
+
+
+def told(status: int, ref: str, stage: str, done: int = 0, running: int = 0) -> Response:
+    return Response(status, encode(JobAnswer(ref, stage, done, running)))
+
+
+class FrontDesk:
+    def __init__(
+        self, state: State, member: Membership, teams: dict[str, Limits], txn_ops: int
+    ) -> None:
+        self.state = state
+        self.member = member
+        self.teams = teams
+        self.txn_ops = txn_ops
+        self.kinds: dict[str, Kind] = {}
+        self.limiter = Limiter()
+        self.finals: dict[str, Final] = {}  # final answers, the only ones that may be cached
+        self.closed: Callable[[str], None] = lambda ref: None
+        self.brake = Brake()
+
+    async def handle(self, request: Request) -> Response:
+        if not self.limiter.enter():
+            return refusal(503, "busy", LATER)
+        started = now_us()
+        try:
+            return await self._route(request)
+        except (Failed, Unavailable, Conflict, NoHold) as fault:
+            if self.brake.ok(started):
+                log.info("%s %s: %s", request.method, request.path, fault)
+            return refusal(503, "not sure right now", LATER)
+        finally:
+            self.limiter.leave(now_us() - started)
+
+    async def _route(self, request: Request) -> Response:
+        rest = request.path.removeprefix("/api/jobs")
+        if rest == "":
+            if request.method != "POST":
+                return refusal(405, "use POST")
+            return await self.submit(request.body)
+        ref, _, verb = rest[1:].partition("/")
+        if verb not in ("", "cancel"):
+            return refusal(404, "no such path")
+        if request.method != ("POST" if verb else "GET"):
+            return refusal(405, "use POST" if verb else "use GET")
+        if not KNOWN_REF.match(ref):
+            return refusal(404, "no such job")
+        return await (self.cancel(ref) if verb else self.poll(ref))
+
+    # Submit
+
+    async def submit(self, body: bytes) -> Response:
+        try:
+            sent = msgspec.json.decode(body, type=Submission)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+            return refusal(400, str(fault)[:200])
+        final = self.finals.get(sent.ref)
+        if final is not None:
+            return told(200, sent.ref, final.stage, final.done)
+        if not self.kinds or not self.member.acts:
+            return refusal(503, "starting", LATER)
+        never = self.never_runs(sent)
+        if never:
+            # A job that was accepted stays accepted, whatever has changed since.
+            known = await self._look(sent.ref)
+            return known if known is not None else refusal(422, never)
+        guards = [self.member.guard(), Guard(OPEN + sent.ref, 0), Guard(OVER + sent.ref, 0)]
+        try:
+            stored = StoredJob(sent, time.time_ns() // 1000)
+            await self.state.multi(guards, [Put(OPEN + sent.ref, stored)])
+        except Conflict as conflict:
+            if not any(key.endswith("/" + sent.ref) for key in conflict.failed):
+                raise
+            known = await self._look(sent.ref)
+            return known if known is not None else refusal(503, "again, please", LATER)
+        return told(201, sent.ref, "pending")
+
+    def never_runs(self, sent: Submission) -> str:
+        """Why a job can never run, or nothing."""
+        team = self.teams.get(sent.team)
+        if team is None:
+            return "unknown team"
+        job = job_of(sent)
+        if not any(
+            kind.holds(job)
+            and (job.types is None or kind.name in job.types)
+            and (job.zone is None or job.zone in kind.zones)
+            for kind in self.kinds.values()
+        ):
+            return "a task fits no allowed machine type"
+        count = job.tasks if job.gang else 1
+        if (team.cpus_max and job.cpus * count > team.cpus_max + 1e-6) or (
+            team.gpus_max and job.gpus * count > team.gpus_max + 1e-6
+        ):
+            return "more than the team's limit"
+        return ""
+
+    # Poll and cancel
+
+    async def _rows(self, ref: str) -> list[Row]:
+        """The open job's rows: itself first, then its results; empty if it is not open."""
+        page = await self.state.page(OPEN + ref, most=2 + 100_000 // STRETCH + 1)
+        rows = [row for row in page.rows if split_open(row.key)[0] == ref]
+        return rows if rows and rows[0].key == OPEN + ref else []
+
+    async def _final(self, ref: str) -> Final | None:
+        row = await self.state.get(OVER + ref)
+        if row is None:
+            return None
+        final = msgspec.json.decode(row.value, type=Final)
+        self.remember(ref, final)
+        return final
+
+    def remember(self, ref: str, final: Final) -> None:
+        self.finals[ref] = final
+        while len(self.finals) > FINALS_KEPT:
+            del self.finals[next(iter(self.finals))]
+
+    async def _look(self, ref: str) -> Response | None:
+        """The present state, or None when the state service says that there is no such job.
+
+        A job goes from open to over in one transaction, so looking in this order misses none.
+        """
+        rows = await self._rows(ref)
+        if rows:
+            parts = [msgspec.json.decode(row.value, type=Progress) for row in rows[1:]]
+            done = sum(part.count for part in parts)
+            running = sum(part.running for part in parts)
+            return told(200, ref, "running" if done or running else "pending", done, running)
+        final = await self._final(ref)
+        return None if final is None else told(200, ref, final.stage, final.done)
+
+    async def poll(self, ref: str) -> Response:
+        final = self.finals.get(ref)
+        if final is not None:
+            return told(200, ref, final.stage, final.done)
+        known = await self._look(ref)
+        return known if known is not None else refusal(404, "no such job")
+
+    async def cancel(self, ref: str) -> Response:
+        for _ in range(4):
+            final = self.finals.get(ref)
+            if final is not None:
+                return told(200, ref, final.stage, final.done)
+            rows = await self._rows(ref)
+            if not rows:
+                final = await self._final(ref)
+                if final is None:
+                    return refusal(404, "no such job")
+                continue
+            if not self.member.acts:
+                return refusal(503, "starting", LATER)
+            done = sum(msgspec.json.decode(row.value, type=Progress).count for row in rows[1:])
+            final = Final("withdrawn", done)
+            drops = [Drop(row.key) for row in rows][: self.txn_ops - 1]
+            try:
+                await self.state.multi(
+                    [self.member.guard(), Guard(OPEN + ref, rows[0].stamp), Guard(OVER + ref, 0)],
+                    [Put(OVER + ref, final), *drops],
+                )
+            except Conflict as conflict:
+                if not any(key.endswith("/" + ref) for key in conflict.failed):
+                    raise
+                continue
+            log.info("job %s cancelled", ref)
+            self.remember(ref, final)
+            self.closed(ref)
+        final = self.finals.get(ref)
+        return told(200, ref, final.stage, final.done) if final else refusal(503, "busy", LATER)
--- /dev/null
+++ b/basaltlead/membership.py
@@ -0,0 +1,280 @@
+"""This process among the others: its hold, its place in the cluster, who leads, who owns what."""
+
+import asyncio
+import os
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from basaltlead.clients.base import Backoff, Unavailable
+from basaltlead.clients.state import Conflict, NoHold, State, TooOld
+from basaltlead.core import leadership
+from basaltlead.core.leadership import (
+    BATON,
+    LEADER,
+    PREFIX,
+    Claim,
+    Cluster,
+    Counter,
+    Grant,
+    block_key,
+    member_key,
+)  # fmt: skip
+from basaltlead.logs import log
+from basaltlead.net.http import Failed
+from basaltlead.wire.state import Drop, Guard, Put, Row
+
+TROUBLE = (Failed, Unavailable, Conflict, NoHold)
+WATCH_MS = 4000
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Membership:
+    """Keeps the hold alive and the picture of the cluster fresh.
+
+    `acts` is the one test that everything done by right must pass at the moment it is done.
+    """
+
+    def __init__(self, name: str, state: State, right_us: int, blocks: int) -> None:
+        self.name = name
+        self.state = state
+        self.ttl_us = right_us
+        self.block_count = blocks
+        self.life = ""
+        self.hold = 0
+        self.stamp = 0
+        self.right_until = 0
+        self.cluster = Cluster()
+        self.changed: Callable[[], None] = lambda: None
+        self.wake = asyncio.Event()
+        self.shy_until = 0  # after stepping down: let others claim first
+        self.chance = random.Random()
+
+    # Rights
+
+    @property
+    def acts(self) -> bool:
+        return self.stamp > 0 and now_us() < self.right_until
+
+    def guard(self) -> Guard:
+        """What every write of this process is guarded on."""
+        return Guard(member_key(self.name), self.stamp)
+
+    def owned(self, block: int) -> tuple[Grant, int] | None:
+        """The grant of a block to this very incarnation."""
+        held = self.cluster.blocks.get(block)
+        if held is None or held[0].name != self.name or held[0].life != self.life or not self.life:
+            return None
+        return held
+
+    def owner(self, block: int) -> str | None:
+        """The living owner of a block, as far as known."""
+        held = self.cluster.blocks.get(block)
+        if held is None or not self.cluster.lives(held[0].name, held[0].life):
+            return None
+        return held[0].name
+
+    @property
+    def leads(self) -> bool:
+        leader = self.cluster.leader
+        return leader is not None and leader[0].life == self.life and bool(self.life)
+
+    # Loops
+
+    async def keep(self) -> None:
+        """Join, touch, and join anew whenever the hold is lost."""
+        backoff = Backoff(200_000, 2_000_000, self.chance)
+        while True:
+            try:
+                if not self.stamp:
+                    await self._join()
+                    backoff.reset()
+                sent = now_us()
+                await self.state.touch(self.hold, min(1_500_000, self.ttl_us // 4))
+                self.right_until = leadership.right_end(sent, self.ttl_us)
+                backoff.reset()
+                await asyncio.sleep(self.ttl_us / 6e6)
+            except NoHold:
+                log.info("hold lost, joining anew")
+                self.leave()
+            except (Failed, Unavailable, Conflict) as fault:
+                log.debug("hold: %s", fault)
+                await backoff.rest()
+
+    def leave(self) -> None:
+        self.stamp = 0
+        self.right_until = 0
+        self.life = ""
+        self.changed()
+
+    async def _join(self) -> None:
+        sent = now_us()
+        hold = await self.state.hold(self.ttl_us)
+        old = await self.state.get(member_key(self.name))
+        life = os.urandom(6).hex()
+        # Guarded on what stood there, so that a late copy of this very request from an earlier
+        # incarnation can't put that one back into our place.
+        stamp = await self.state.multi(
+            [Guard(member_key(self.name), old.stamp if old else 0)],
+            [Put(member_key(self.name), Claim(self.name, life), hold)],
+        )
+        self.hold, self.life, self.stamp = hold, life, stamp
+        self.right_until = leadership.right_end(sent, self.ttl_us)
+        self.cluster.members[self.name] = (Claim(self.name, life), stamp)
+        log.info("joined as %s/%s", self.name, life)
+        self.wake.set()
+        self.changed()
+
+    async def watch(self) -> None:
+        """Follow the keys of the cluster."""
+        backoff = Backoff(100_000, 2_000_000, self.chance)
+        since: int | None = None
+        while True:
+            try:
+                if since is None:
+                    rows, since = await self.state.rows(PREFIX)
+                    self._load(rows)
+                changes = await self.state.changes(PREFIX, since, WATCH_MS)
+                for change in changes.log:
+                    if change.put is not None:
+                        self._put(change.put, change.value, change.stamp)
+                    elif change.drop is not None:
+                        self._drop(change.drop, change.stamp)
+                since = max(since, changes.revision)
+                backoff.reset()
+                if changes.log:
+                    self._looked()
+            except TooOld:
+                since = None
+            except TROUBLE as fault:
+                log.debug("cluster watch: %s", fault)
+                await backoff.rest()
+
+    def _looked(self) -> None:
+        mine = self.cluster.members.get(self.name)
+        if self.stamp and (mine is None or mine[0].life != self.life) and (
+            mine is None or mine[1] > self.stamp
+        ):  # fmt: skip
+            log.info("our member key is gone, joining anew")
+            self.leave()
+        self.wake.set()
+        self.changed()
+
+    def _load(self, rows: list[Row]) -> None:
+        mine = self.cluster.members.get(self.name)
+        self.cluster = Cluster()
+        if mine is not None and self.stamp:
+            self.cluster.members[self.name] = mine
+        for row in rows:
+            self._put(row.key, row.value, row.stamp)
+        self._looked()
+
+    def _put(self, key: str, raw: msgspec.Raw, stamp: int) -> None:
+        try:
+            if key == LEADER:
+                self.cluster.leader = (msgspec.json.decode(raw, type=Claim), stamp)
+            elif key == BATON:
+                self.cluster.baton = (msgspec.json.decode(raw, type=Counter), stamp)
+            elif key.startswith("c/member/"):
+                name = key.removeprefix("c/member/")
+                known = self.cluster.members.get(name)
+                if known is None or known[1] <= stamp:
+                    self.cluster.members[name] = (msgspec.json.decode(raw, type=Claim), stamp)
+            elif key.startswith("c/block/"):
+                grant = msgspec.json.decode(raw, type=Grant)
+                self.cluster.blocks[int(key.removeprefix("c/block/"))] = (grant, stamp)
+        except (msgspec.DecodeError, ValueError) as fault:
+            log.error("record %s can't be read: %s", key, fault)
+
+    def _drop(self, key: str, stamp: int) -> None:
+        if key == LEADER:
+            self.cluster.leader = None
+        elif key.startswith("c/member/"):
+            known = self.cluster.members.get(key.removeprefix("c/member/"))
+            if known is not None and known[1] <= stamp:
+                del self.cluster.members[key.removeprefix("c/member/")]
+
+    async def lead(self) -> None:
+        """Claim the leader's key when nobody living has it; as leader, lease out the blocks."""
+        while True:
+            try:
+                async with asyncio.timeout(0.5):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            if not self.acts or self.name not in self.cluster.members:
+                continue
+            try:
+                if not self.cluster.leader_lives:
+                    if now_us() < self.shy_until and len(self.cluster.members) > 1:
+                        continue
+                    await self._claim()
+                elif self.leads:
+                    for block in self.cluster.orphans(self.block_count):
+                        await self._grant(block)
+            except Conflict as conflict:
+                log.debug("claim lost on %s", conflict)
+                await asyncio.sleep(self.chance.uniform(0.02, 0.1))
+            except (Failed, Unavailable, NoHold) as fault:
+                log.debug("claim: %s", fault)
+                await asyncio.sleep(self.chance.uniform(0.1, 0.4))
+
+    async def _claim(self) -> None:
+        cluster = self.cluster
+        guards = [self.guard()]
+        if cluster.leader is None:
+            guards.append(Guard(LEADER, 0))
+        else:
+            claim, stamp = cluster.leader
+            guards.append(Guard(LEADER, stamp))
+            if claim.name != self.name:  # this key is the proof that the old leader's right ended
+                guards.append(Guard(member_key(claim.name), cluster.member_stamp(claim.name)))
+        claim = Claim(self.name, self.life)
+        stamp = await self.state.multi(guards, [Put(LEADER, claim, self.hold)])
+        self.cluster.leader = (claim, stamp)
+        log.info("leading as %s/%s", self.name, self.life)
+        self.wake.set()
+
+    async def _grant(self, block: int) -> None:
+        cluster = self.cluster
+        assert cluster.leader is not None
+        counter, baton_stamp = cluster.baton or (Counter(0), 0)
+        guards = [self.guard(), Guard(LEADER, cluster.leader[1]), Guard(BATON, baton_stamp)]
+        held = cluster.blocks.get(block)
+        guards.append(Guard(block_key(block), held[1] if held else 0))
+        if held is not None and held[0].name and held[0].name != self.name:
+            guards.append(Guard(member_key(held[0].name), cluster.member_stamp(held[0].name)))
+        grant = Grant(self.name, self.life, counter.last + 1)
+        stamp = await self.state.multi(
+            guards, [Put(BATON, Counter(grant.baton)), Put(block_key(block), grant)]
+        )
+        cluster.baton = (Counter(grant.baton), stamp)
+        cluster.blocks[block] = (grant, stamp)
+        log.info("block %d leased to %s with baton %d", block, grant.name, grant.baton)
+        self.changed()
+
+    async def step_down(self, block: int) -> bool:
+        """Hand a block and the leader's place back; the caller has stopped acting for it."""
+        held = self.owned(block)
+        if held is None:
+            return True
+        self.shy_until = now_us() + 15_000_000
+        guards = [self.guard(), Guard(block_key(block), held[1])]
+        free = Grant("", "", held[0].baton)
+        apply: list[Put | Drop] = [Put(block_key(block), free)]
+        if self.leads and self.cluster.leader is not None:
+            guards.append(Guard(LEADER, self.cluster.leader[1]))
+            apply.append(Drop(LEADER))
+        try:
+            await self.state.multi(guards, apply)
+        except TROUBLE as fault:
+            log.info("stepping down: %s", fault)
+            return False
+        log.info("block %d handed back", block)
+        return True
--- /dev/null
+++ b/basaltlead/net/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP, netstrings and the limit on requests in progress."""
--- /dev/null
+++ b/basaltlead/net/netstring.py
@@ -0,0 +1,84 @@
+"""Netstrings of JSON between controllers: `<length>:<bytes>,` with a bounded length."""
+
+import asyncio
+from collections.abc import Callable
+
+MAX_FRAME = 256 * 1024
+
+
+class BadFrame(Exception):
+    pass
+
+
+def frame(body: bytes) -> bytes:
+    return b"%d:%b," % (len(body), body)
+
+
+class Splitter:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self, limit: int = MAX_FRAME) -> None:
+        self.limit = limit
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        self.buffer += data
+        out: list[bytes] = []
+        while self.buffer:
+            colon = self.buffer.find(b":", 0, 12)
+            if colon < 0:
+                if len(self.buffer) >= 12 or not self.buffer.isdigit():
+                    raise BadFrame("no length")
+                break
+            digits = bytes(self.buffer[:colon])
+            if not digits.isdigit() or int(digits) > self.limit:
+                raise BadFrame("bad length")
+            end = colon + 1 + int(digits)
+            if len(self.buffer) <= end:
+                break
+            if self.buffer[end] != ord(","):
+                raise BadFrame("no comma")
+            out.append(bytes(self.buffer[colon + 1 : end]))
+            del self.buffer[: end + 1]
+        return out
+
+
+class FrameProtocol(asyncio.Protocol):
+    """A connection that carries netstrings; used on both ends."""
+
+    def __init__(
+        self,
+        received: Callable[["FrameProtocol", bytes], None],
+        lost: Callable[["FrameProtocol"], None],
+    ) -> None:
+        self.received = received
+        self.lost = lost
+        self.splitter = Splitter()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            frames = self.splitter.feed(data)
+        except BadFrame:
+            self.close()
+            return
+        for body in frames:
+            self.received(self, body)
+
+    def send(self, body: bytes) -> bool:
+        if self.transport is None or self.transport.get_write_buffer_size() > MAX_FRAME:
+            return False  # a peer that does not read must not fill our memory
+        self.transport.write(frame(body))
+        return True
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/basaltlead/node.py
@@ -0,0 +1,198 @@
+"""Wires a controller up: servers, clients, membership, and the parts it owns at the moment."""
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+
+from basaltlead.clients.base import Backoff, Unavailable, encode
+from basaltlead.clients.cloud import Cloud, NoCapacity
+from basaltlead.clients.state import State
+from basaltlead.core.fleet import Shop
+from basaltlead.core.market import Market, Terms, targets_of
+from basaltlead.core.model import US, Kind
+from basaltlead.frontdesk import FrontDesk, refusal
+from basaltlead.logs import Brake, log
+from basaltlead.membership import Membership, now_us
+from basaltlead.net.http import Failed, Request, Response, Server
+from basaltlead.owner import Owner, limits_of
+from basaltlead.records import kind_of
+from basaltlead.renting import Renting
+from basaltlead.settings import Settings
+from basaltlead.wire.workers import Elsewhere, Report
+
+BLOCKS = 1
+RESERVED_SOCKETS = 150  # for our own calls to workers, state service, cloud and peers
+
+report_decoder = msgspec.json.Decoder(Report)
+
+
+class Node:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        facts = settings.facts
+        self.state = State(
+            settings.services.state, facts.state.rps, facts.state.write_rps, facts.nodes
+        )
+        self.cloud = Cloud(settings.services.cloud, facts.cloud.rps)
+        self.member = Membership(settings.member, self.state, settings.right_us, BLOCKS)
+        self.member.changed = self._changed
+        self.desk = FrontDesk(self.state, self.member, limits_of(settings), facts.state.txn_ops)
+        self.desk.closed = self._closed
+        self.kinds: dict[str, Kind] = self.desk.kinds
+        self.owner: Owner | None = None
+        self.shop = Shop()
+        self.brake = Brake()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        limit = max(50, self.settings.facts.quota.fd_limit - RESERVED_SOCKETS)
+        server = Server(self.handle, limit)
+        await server.start(self.settings.front)
+        log.info("%s listens on %s", self.settings.member, self.settings.front)
+        for name, work in (
+            ("keep", self.member.keep), ("watch", self.member.watch),
+            ("lead", self.member.lead), ("types", self._types), ("mind", self._mind),
+        ):  # fmt: skip
+            self._spawn(work, name)
+        await asyncio.Event().wait()
+
+    def _spawn(self, work: Any, name: str) -> None:
+        """A loop that is started again, and logged, should it ever fail."""
+        task = asyncio.get_running_loop().create_task(self._forever(work, name), name=name)
+        self.tasks.add(task)
+
+    async def _forever(self, work: Any, name: str) -> None:
+        while True:
+            try:
+                loop: Coroutine[Any, Any, None] = work()
+                await loop
+            except Exception:
+                log.exception("loop %s failed", name)
+            await asyncio.sleep(0.5)
+
+    # What we own
+
+    def _changed(self) -> None:
+        """The cluster has changed: take up a block that is ours, let go one that is not."""
+        held = self.member.owned(0) if self.member.stamp else None
+        owner = self.owner
+        if owner is not None and (held is None or held[1] != owner.stamp):
+            log.info("block 0 let go")
+            owner.stop()
+            self.owner = None
+        if self.owner is None and held is not None:
+            op = self.settings.operator
+            facts = self.settings.facts
+            terms = Terms(
+                int(op.round_s * US), int(op.refill_s * US), op.budget,
+                op.reserve_price, op.threshold,
+            )  # fmt: skip
+            targets = targets_of([(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives])
+            market = Market(terms, [t.name for t in facts.teams], targets)
+            owner = Owner(
+                self.settings, self.member, self.state, 0, held[0], held[1], market, self.kinds
+            )
+            renting = Renting(self.settings, self.cloud, owner, market, self.shop)
+            owner.on_loaded = renting.start
+            self.owner = owner
+            owner.start()
+
+    def _closed(self, ref: str) -> None:
+        if self.owner is not None and self.owner.loaded:
+            self.owner.close(ref)
+
+    async def _mind(self) -> None:
+        """Notice when others would serve our machines better than we do."""
+        while True:
+            await asyncio.sleep(0.3)
+            owner = self.owner
+            if owner is None:
+                continue
+            if owner.resigned or self._deaf(owner):
+                if not owner.resigned:
+                    log.info("no report for too long: stepping down")
+                owner.resigned = True
+                if await self.member.step_down(0):
+                    owner.stop()
+                    self.owner = None
+                    self.member.cluster.blocks.pop(0, None)
+
+    def _deaf(self, owner: Owner) -> bool:
+        """All machines silent at once while other members live: more likely our own links."""
+        if not owner.loaded or len(self.member.cluster.members) < 2 or not owner.acts:
+            return False
+        now = now_us()
+        report_us = owner.block.timing.report_us
+        patience = max(3 * US, int(report_us * 2.5))
+        known = [
+            m for m in owner.block.machines.values()
+            if not m.deleting and (m.heard_at > now - 60 * US or m.name in owner.block.risky)
+        ]  # fmt: skip
+        if len(known) < 2:
+            return False
+        if owner.heard_at:
+            return now - owner.heard_at > patience
+        return now - owner.block.took_at > 9 * US + report_us
+
+    async def _types(self) -> None:
+        """Machine types and their present prices."""
+        backoff = Backoff(200_000, 2_000_000, self.member.chance)
+        while True:
+            try:
+                types = await self.cloud.types()
+                for kind in map(kind_of, types):
+                    self.kinds[kind.name] = kind
+                backoff.reset()
+                await asyncio.sleep(30 if self.owner is not None else 180)
+            except (Failed, Unavailable, NoCapacity) as fault:
+                log.info("machine types: %s", fault)
+                await backoff.rest()
+
+    # Requests
+
+    def handle(self, request: Request) -> "Response | Coroutine[Any, Any, Response]":
+        path = request.path
+        if path == "/agent/beat":
+            if request.method != "POST":
+                return refusal(405, "use POST")
+            return self.beat(request.body)
+        if path == "/healthz":
+            if request.method != "GET":
+                return refusal(405, "use GET")
+            healthy = self.member.acts and bool(self.kinds)
+            return Response(200, b"{}") if healthy else refusal(503, "not ready")
+        if path == "/api/jobs" or path.startswith("/api/jobs/"):
+            return self.desk.handle(request)
+        return refusal(404, "no such path")
+
+    def beat(self, body: bytes) -> Response:
+        try:
+            report = report_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+            if self.brake.ok(now_us()):
+                log.info("malformed report: %s", fault)
+            return refusal(400, "malformed report")
+        if self.owner is not None:
+            answer = self.owner.beat(report)
+            if answer is not None:
+                return answer
+        elsewhere = self.member.owner(0)
+        if elsewhere is None or elsewhere == self.member.name:
+            return refusal(503, "no owner known")
+        return Response(421, encode(Elsewhere(elsewhere)))
+
+
+def serve(settings: Settings) -> int:
+    """Run until killed."""
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    try:
+        asyncio.run(Node(settings).run())
+    except KeyboardInterrupt:
+        return 130
+    except OSError as fault:
+        log.error("can't listen on %s: %s", settings.front, fault)
+        return 1
+    return 0
--- /dev/null
+++ b/basaltlead/owner.py
@@ -0,0 +1,436 @@
+"""The owner of a block: loads it, answers its workers, starts its tasks, stores their results."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from basaltlead.clients.base import Backoff, Unavailable, encode
+from basaltlead.clients.state import Conflict, NoHold, State, TooOld
+from basaltlead.clients.workers import Workers
+from basaltlead.core.block import Block, Limits, Timing, Wish
+from basaltlead.core.leadership import Grant, block_key
+from basaltlead.core.market import Market, TeamRecord
+from basaltlead.core.model import US, Kind, Machine, Work
+from basaltlead.logs import log
+from basaltlead.membership import Membership, now_us
+from basaltlead.net.http import Failed, Response
+from basaltlead.records import (
+    HIRE,
+    MACHINE,
+    OPEN,
+    OVER,
+    STRETCH,
+    TEAM,
+    Final,
+    Progress,
+    StoredHire,
+    StoredJob,
+    StoredMachine,
+    job_of,
+    load_progress,
+    progress_of,
+    split_open,
+    stretches,
+)  # fmt: skip
+from basaltlead.settings import Settings
+from basaltlead.wire.state import Change, Drop, Guard, Put
+from basaltlead.wire.workers import Command, Order, Orders, Report
+
+TROUBLE = (Failed, Unavailable, Conflict, NoHold)
+WATCH_MS = 4000
+FLUSH_US = 2 * US  # results of unfinished jobs wait this long: their workers still keep them
+
+
+def order_of(wish: Wish) -> Order:
+    return Order(wish.verb, f"{wish.ref}/{wish.index}", wish.token, wish.grace_s)
+
+
+class Owner:
+    """Lives from the grant of a block until it is lost; a new grant means a new Owner."""
+
+    def __init__(
+        self, settings: Settings, member: Membership, state: State, number: int,
+        grant: Grant, stamp: int, market: Market, kinds: dict[str, Kind],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.member = member
+        self.state = state
+        self.number = number
+        self.grant = grant
+        self.stamp = stamp
+        self.market = market
+        self.kinds = kinds
+        w = settings.facts.workers
+        timing = Timing(
+            int(w.lease_s * US), int(w.report_s * US),
+            int(w.gang_peer_s * US), int(w.gang_wait_s * US),
+        )  # fmt: skip
+        self.block = Block(grant.baton, stamp, now_us(), timing, limits_of(settings))
+        self.block.log = lambda text: log.info("%s", text)
+        self.workers = Workers()
+        self.loaded = False
+        self.resigned = False  # we have stopped acting, for good
+        self.watched_at = now_us()  # when the last good look at the open jobs was asked for
+        self.hires: dict[str, StoredHire] = {}
+        self.early: dict[str, int] = {}  # answers given before the block was loaded
+        self.stored_running: dict[str, int] = {}
+        self.flushed_at: dict[str, int] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.wake = asyncio.Event()
+        self.heard_at = 0  # the last report of any machine
+        self.lanes: dict[str, tuple[Work, list[int]]] = {}  # the last job of a class, arrivals
+        self.on_loaded: Callable[[], None] = lambda: None
+
+    # Rights
+
+    @property
+    def acts(self) -> bool:
+        """The hold, the grant and our sight of cancellations all provably last."""
+        return (
+            self.member.acts
+            and not self.resigned
+            and self.member.life == self.grant.life
+            and now_us() < self.watched_at + self.member.ttl_us
+        )
+
+    def guards(self) -> list[Guard]:
+        return [self.member.guard(), Guard(block_key(self.number), self.stamp)]
+
+    # Life
+
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("%s failed", task.get_name(), exc_info=task.exception())
+            if task.get_name().startswith("loop "):
+                # A loop of ours must never end unseen. A fresh grant starts from what is stored.
+                self.resigned = True
+                self.member.wake.set()
+
+    def start(self) -> None:
+        self.spawn(self._run(), "loop load")
+
+    def stop(self) -> None:
+        self.resigned = True
+        for task in list(self.tasks):
+            task.cancel()
+        for address in list(self.workers.pools):
+            self.workers.forget(address)
+
+    async def _run(self) -> None:
+        backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        while True:
+            try:
+                revision = await self._load()
+                break
+            except TROUBLE as fault:
+                log.info("loading block %d: %s", self.number, fault)
+                await backoff.rest()
+        self.loaded = True
+        self.on_loaded()
+        self.spawn(self._watch(revision), "loop watch")
+        self.spawn(self._flush(), "loop flush")
+        self.spawn(self._plan(), "loop plan")
+        self.spawn(self._rounds(), "loop rounds")
+        for machine in list(self.block.machines.values()):
+            if machine.name in self.block.risky and machine.address:
+                self.spawn(self._sync(machine), f"sync {machine.name}")
+
+    async def _load(self) -> int:
+        block = self.block
+        asked = now_us()
+        rows, revision = await self.state.rows(OPEN)
+        machines, _ = await self.state.rows(MACHINE)
+        hires, _ = await self.state.rows(HIRE)
+        teams, _ = await self.state.rows(TEAM)
+        now = now_us()
+        for row in rows:
+            self._take_open(row.key, row.value, row.stamp, now)
+        for row in machines:
+            stored = msgspec.json.decode(row.value, type=StoredMachine)
+            kind = self.kinds.get(stored.kind) or placeholder_kind(stored.kind)
+            machine = Machine(row.key[len(MACHINE) :], kind, stored.zone, stored.spot, now)
+            machine.address = stored.address
+            machine.made_at = now - self._age(stored.at)
+            machine.answered_at = self.early.get(machine.name, block.took_at)
+            block.load_machine(machine)
+        for row in hires:
+            self.hires[row.key[len(HIRE) :]] = msgspec.json.decode(row.value, type=StoredHire)
+        for row in teams:
+            self.market.load(row.key[len(TEAM) :], msgspec.json.decode(row.value, type=TeamRecord))
+        self.watched_at = asked
+        log.info(
+            "block %d loaded: %d jobs, %d machines, %d hires", self.number,
+            len(block.works), len(block.machines), len(self.hires),
+        )  # fmt: skip
+        return revision
+
+    @staticmethod
+    def _age(at: int) -> int:
+        """Age of something by the time of day, which may be off a little."""
+        return max(0, time.time_ns() // 1000 - at)
+
+    def _take_open(self, key: str, raw: msgspec.Raw, stamp: int, now: int) -> None:
+        ref, stretch = split_open(key)
+        if stretch is None:
+            stored = msgspec.json.decode(raw, type=StoredJob)
+            if ref in self.block.works:
+                return
+            age = self._age(stored.at)
+            work = self.block.add_job(job_of(stored.job), stamp, now, age)
+            work.bid = self.market.first_bid(work, now)
+            seen = self.lanes.setdefault(work.job.lane, (work, []))[1]
+            seen.append(now - age)
+            del seen[:-200]
+            self.lanes[work.job.lane] = (work, seen)
+            self.wake.set()
+        elif not self.loaded and ref in self.block.works:
+            load_progress(self.block.works[ref], stretch, msgspec.json.decode(raw, type=Progress))
+
+    # Jobs
+
+    async def _watch(self, since: int) -> None:
+        """Follow the open jobs: new ones, and those that are cancelled."""
+        backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        while True:
+            asked = now_us()
+            try:
+                changes = await self.state.changes(OPEN, since, WATCH_MS)
+                for change in changes.log:
+                    self._change(change)
+                since = max(since, changes.revision)
+                self.watched_at = asked
+                backoff.reset()
+            except TooOld:
+                try:
+                    since = await self._relist()
+                except TROUBLE as fault:
+                    log.info("open jobs: %s", fault)
+                    await backoff.rest()
+            except TROUBLE as fault:
+                log.debug("open jobs: %s", fault)
+                await backoff.rest()
+
+    def _change(self, change: Change) -> None:
+        if change.put is not None:
+            self._take_open(change.put, change.value, change.stamp, now_us())
+        elif change.drop is not None:
+            ref, stretch = split_open(change.drop)
+            if stretch is None:
+                self.close(ref)
+
+    async def _relist(self) -> int:
+        asked = now_us()
+        rows, revision = await self.state.rows(OPEN)
+        seen = {split_open(row.key)[0] for row in rows}
+        for row in rows:
+            self._take_open(row.key, row.value, row.stamp, now_us())
+        for ref in [ref for ref in self.block.works if ref not in seen]:
+            self.close(ref)
+        self.watched_at = asked
+        return revision
+
+    def close(self, ref: str) -> None:
+        if ref in self.block.works:
+            self.block.close_job(ref, now_us())
+            self.stored_running.pop(ref, None)
+            self.flushed_at.pop(ref, None)
+            self.wake.set()
+
+    # Reports
+
+    def beat(self, report: Report) -> Response | None:
+        """The answer to a worker, or None when this is not the node to give one."""
+        if not self.acts:
+            return None
+        now = now_us()
+        self.heard_at = now
+        if report.baton > self.grant.baton:
+            return None
+        if not self.loaded:
+            self.early[report.machine] = now
+            return Response(200, encode(Orders(self.grant.baton, [])))
+        machine = self.block.machines.get(report.machine)
+        if machine is None:
+            if report.machine in self.block.gone:
+                return None
+            machine = self._meet(report, now)
+        elif not machine.recorded and machine.address == "":
+            machine.address = report.address
+        if not machine.recorded:
+            self._record(machine, report)
+        wishes = self.block.beat(report, now)
+        if wishes is None:
+            return None
+        if self.block.dirty:
+            self.wake.set()
+        return Response(200, encode(Orders(self.grant.baton, [order_of(w) for w in wishes])))
+
+    def _meet(self, report: Report, now: int) -> Machine:
+        """A machine nobody told us of, such as one from a hire that was executed late."""
+        kind = self.kinds.get(report.type) or placeholder_kind(report.type)
+        machine = Machine(report.machine, kind, report.zone, report.spot, now)
+        self.block.add_machine(machine)
+        return machine
+
+    def _record(self, machine: Machine, report: Report) -> None:
+        """A machine must stand in the state service before its first task, so that the next
+        owner knows where tasks may be."""
+        name = f"record {machine.name}"
+        if any(task.get_name() == name for task in self.tasks):
+            return
+        machine.address = report.address
+        self.spawn(self._store_machine(machine), name)
+
+    async def _store_machine(self, machine: Machine) -> None:
+        stored = StoredMachine(
+            machine.kind.name, machine.zone, machine.spot, machine.address, time.time_ns() // 1000
+        )
+        try:
+            await self.state.multi(self.guards(), [Put(MACHINE + machine.name, stored)])
+        except TROUBLE as fault:
+            log.info("recording %s: %s", machine.name, fault)
+            return  # its next report tries again
+        if not machine.deleting:
+            machine.recorded = True
+            self.block.dirty = True
+            self.wake.set()
+            log.info("machine %s (%s in %s) is up", machine.name, machine.kind.name, machine.zone)
+
+    async def _sync(self, machine: Machine) -> None:
+        """Ask a machine directly, so that it shows our baton before its next report."""
+        session = 1
+        for _ in range(6):
+            if not self.acts or machine.name not in self.block.risky:
+                return
+            try:
+                command = Command(self.grant.baton, session, [])
+                executed, report = await self.workers.command(machine.address, command)
+            except Failed:
+                await asyncio.sleep(0.5)
+                continue
+            if report.machine != machine.name:
+                return
+            session = report.session
+            if executed and self.acts:
+                self.block.answer(report, now_us(), executed)
+                self.wake.set()
+                return
+
+    # Results
+
+    async def _flush(self) -> None:
+        """Store results: those that complete a job at once, others now and then."""
+        while True:
+            await asyncio.sleep(0.1)
+            if not self.acts:
+                continue
+            now = now_us()
+            works = [w for w in self.block.works.values() if not w.closed]
+            for work in [w for w in works if w.complete]:
+                await self._store(self._finish(work))
+            for work in works:
+                if work.complete or work.closed:
+                    continue
+                shown = sum(1 for a in work.live.values() if a.stage == "running")
+                changed = bool(work.unstored) or (
+                    bool(shown) and not self.stored_running.get(work.job.ref)
+                )
+                if changed and now - self.flushed_at.get(work.job.ref, 0) >= FLUSH_US:
+                    self.flushed_at[work.job.ref] = now
+                    self.stored_running[work.job.ref] = shown
+                    await self._store(self._progress(work))
+
+    async def _store(self, storing: Coroutine[Any, Any, None]) -> None:
+        try:
+            await storing
+        except Conflict as conflict:
+            log.debug("storing results: %s", conflict)  # cancelled meanwhile: the watch tells
+            await asyncio.sleep(0.05)
+        except (Failed, Unavailable, NoHold) as fault:
+            log.debug("storing results: %s", fault)
+            await asyncio.sleep(0.2)
+
+    async def _progress(self, work: Work) -> None:
+        ref = work.job.ref
+        parts = stretches(work) or {0: []}
+        guards = [*self.guards(), Guard(OPEN + ref, work.stamp)]
+        for number, indices in list(parts.items()):
+            row = progress_of(work, number)
+            await self.state.multi(guards, [Put(f"{OPEN}{ref}/{number}", row)])
+            self.block.stored(work, indices)
+
+    async def _finish(self, work: Work) -> None:
+        ref = work.job.ref
+        indices = list(work.unstored)
+        final = Final("done", work.job.tasks)
+        numbers = range(-(-work.job.tasks // STRETCH))
+        drops = [Drop(f"{OPEN}{ref}/{n}") for n in numbers]
+        room = self.settings.facts.state.txn_ops - 2
+        try:
+            await self.state.multi(
+                [*self.guards(), Guard(OPEN + ref, work.stamp), Guard(OVER + ref, 0)],
+                [Put(OVER + ref, final), Drop(OPEN + ref), *drops[: max(0, room)]],
+            )
+        except Conflict as conflict:
+            # An earlier try of ours that went unanswered may have been executed, or the job
+            # was cancelled: either way it is no longer open.
+            if OPEN + ref in conflict.failed:
+                self.close(ref)
+                return
+            raise
+        self.block.stored(work, indices)
+        log.info("job %s done", ref)
+        self.close(ref)
+
+    # Time
+
+    async def _plan(self) -> None:
+        """Bind waiting tasks to machines soon after anything has changed."""
+        while True:
+            try:
+                async with asyncio.timeout(0.25):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            now = now_us()
+            self.block.tick(now)
+            if self.acts:
+                self.block.plan(now)
+            await asyncio.sleep(0.02)
+
+    async def _rounds(self) -> None:
+        while True:
+            now = now_us()
+            self.market.round(self.block, now)
+            self.wake.set()
+            if self.acts:
+                puts: list[Put | Drop] = [
+                    Put(TEAM + team, self.market.record(team, self.block.works))
+                    for team in self.market.budgets
+                ]
+                most = self.settings.facts.state.txn_ops
+                for low in range(0, len(puts), most):
+                    await self._store(self._store_teams(puts[low : low + most]))
+            await asyncio.sleep(self.market.terms.round_us / US)
+
+    async def _store_teams(self, puts: list[Put | Drop]) -> None:
+        await self.state.multi(self.guards(), puts)
+
+
+def limits_of(settings: Settings) -> dict[str, Limits]:
+    return {t.name: Limits(t.cpus, t.gpus, t.cpus_max, t.gpus_max) for t in settings.facts.teams}
+
+
+def placeholder_kind(name: str) -> Kind:
+    """A type the cloud has not told us of: nothing fits on it."""
+    return Kind(name, 0.0, 0.0, 0.0, 0.0, None, 60 * US, 1.0, 1.0, ())
--- /dev/null
+++ b/basaltlead/renting.py
@@ -0,0 +1,326 @@
+"""Dealings with the cloud: what is rented comes to what the block needs."""
+
+import asyncio
+import time
+
+from basaltlead.clients.base import Backoff, Unavailable
+from basaltlead.clients.cloud import Cloud, NoCapacity
+from basaltlead.clients.state import Conflict, NoHold
+from basaltlead.core import fleet
+from basaltlead.core.fleet import Need, Offer, Shop, Spare
+from basaltlead.core.market import Market
+from basaltlead.core.model import US, Kind, Machine
+from basaltlead.logs import log
+from basaltlead.membership import now_us
+from basaltlead.net.http import Failed
+from basaltlead.owner import Owner, placeholder_kind
+from basaltlead.records import HIRE, MACHINE, StoredHire
+from basaltlead.settings import Settings
+from basaltlead.wire.cloud import Hire, Rented
+from basaltlead.wire.state import Drop, Put
+
+TROUBLE = (Failed, Unavailable, Conflict, NoHold)
+MOST_HIRING = 6  # hires in progress
+MOST_NAMES = 100  # the cloud deletes that many at once
+MINIMUM_US = 60 * US  # what a machine costs at least
+
+
+class Renting:
+    """Runs beside an Owner and ends with it."""
+
+    def __init__(
+        self, settings: Settings, cloud: Cloud, owner: Owner, market: Market, shop: Shop
+    ) -> None:
+        self.settings = settings
+        self.cloud = cloud
+        self.owner = owner
+        self.market = market
+        self.shop = shop
+        self.sequence = 0
+        self.pending: dict[str, list[Machine]] = {}  # hires without an answer so far
+        self.waits = {
+            o.lane: int(o.within_s * US) for o in settings.facts.objectives if o.kind == "wait"
+        }
+
+    def start(self) -> None:
+        for name, stored in list(self.owner.hires.items()):
+            if stored.names is None:
+                self.owner.spawn(self._hire(name, stored), f"hire {name}")
+            else:
+                self._expect(stored, stored.names)
+        self.owner.spawn(self._size(), "loop size")
+        self.owner.spawn(self._list(), "loop list")
+        self.owner.spawn(self._delete(), "loop delete")
+
+    # What is wanted
+
+    def needs(self, now: int) -> list[Need]:
+        block = self.owner.block
+        out = []
+        for work in sorted(block.works.values(), key=lambda w: (-w.job.rank, w.asked_at)):
+            if work.closed or work.complete or now < work.hold_until:
+                continue
+            lead = self._lead_us(work.job.image_gb) if not work.live else 0
+            wanted = self.market.wanted(work, block, now, lead)
+            live = sum(1 for a in work.live.values() if a.grace is None)
+            out.append(Need(work, max(wanted, live), lead))
+        return out
+
+    def _lead_us(self, image_gb: float) -> int:
+        kinds = self.owner.kinds.values()
+        if not kinds:
+            return 0
+        return min(k.boot_us + int(image_gb / max(k.pull_gb_per_s, 0.01) * US) for k in kinds)
+
+    def spares(self, now: int) -> list[Spare]:
+        """Room for jobs whose class is promised a start sooner than a machine boots."""
+        out = []
+        for lane, within in self.waits.items():
+            seen = self.owner.lanes.get(lane)
+            if seen is None:
+                continue
+            work, arrivals = seen
+            job = work.job
+            suited = [k for k in self.owner.kinds.values() if k.holds(job)]
+            if not suited:
+                continue
+            boot = min(k.boot_us for k in suited)
+            if boot + int(job.image_gb * US) <= within:
+                continue
+            window = 150 * US
+            recent = sum(1 for at in arrivals if now - at < window)
+            if not recent and (not arrivals or now - arrivals[-1] > 2 * window):
+                continue
+            expected = recent * boot / window
+            out.append(Spare(job, max(1, round(expected))))
+        return out
+
+    def expected(self, now: int) -> list[Machine]:
+        """Machines to reckon with: those that are up, and those that should be soon."""
+        out = [m for batch in self.pending.values() for m in batch]
+        for machine in self.owner.block.machines.values():
+            late = not machine.up and now - machine.made_at > self._patience(machine.kind)
+            if not late:
+                out.append(machine)
+        return out
+
+    @staticmethod
+    def _patience(kind: Kind) -> int:
+        return int(kind.boot_us * 2.5) + 10 * US
+
+    async def _size(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            if not self.owner.acts or not self.owner.kinds:
+                continue
+            now = now_us()
+            block = self.owner.block
+            needs = self.needs(now)
+            run_us = {n.work.job.ref: block.guess_us(n.work.job) for n in needs}
+            room = MOST_HIRING - len(self.pending)
+            plan = fleet.size(
+                needs, self.spares(now), self.expected(now), self.owner.kinds,
+                self.shop.offers(self.owner.kinds.values(), now), run_us, 12,
+            )  # fmt: skip
+            grouped: dict[Offer, int] = {}
+            for offer in plan.hires:
+                grouped[offer] = grouped.get(offer, 0) + 1
+            for offer, count in list(grouped.items())[: max(0, room)]:
+                self._start_hire(offer, count)
+            self._give_back(plan.needed, now)
+
+    def _give_back(self, needed: set[str], now: int) -> None:
+        idle_us = int(self.settings.operator.idle_s * US)
+        for machine in list(self.owner.block.machines.values()):
+            if machine.attempts or machine.deleting:
+                continue
+            overdue = not machine.up and now - machine.made_at > 2 * self._patience(machine.kind)
+            idle = (
+                machine.up and machine.synced and not machine.rest
+                and machine.name not in needed
+                and now - machine.idle_since > idle_us
+                and now - machine.made_at > MINIMUM_US - 5 * US
+            )  # fmt: skip
+            faulty = machine.draining and not machine.rest
+            # Everything silent at once is more likely our own trouble than theirs.
+            lost = machine.lost and self._others_heard(now)
+            if overdue or idle or faulty or lost:
+                machine.deleting = True
+                log.info(
+                    "returning %s: %s", machine.name,
+                    "never came up" if overdue else "lost" if lost
+                    else "faulty" if faulty else "idle",
+                )  # fmt: skip
+
+    def _others_heard(self, now: int) -> bool:
+        recent = self.owner.block.timing.lease_us
+        machines = [m for m in self.owner.block.machines.values() if m.up]
+        heard = sum(1 for m in machines if now - m.heard_at < recent)
+        lost = [m for m in machines if m.lost]
+        return heard >= 1 or all(now - m.heard_at > 4 * recent for m in lost)
+
+    # Hiring
+
+    def _start_hire(self, offer: Offer, count: int) -> None:
+        self.sequence += 1
+        name = f"h-{self.owner.grant.baton}-{self.sequence}"
+        stored = StoredHire(
+            offer.kind, offer.zone, offer.spot, min(count, 50), time.time_ns() // 1000
+        )
+        self.owner.spawn(self._hire(name, stored, fresh=True), f"hire {name}")
+
+    async def _hire(self, name: str, stored: StoredHire, fresh: bool = False) -> None:
+        """See one hire through. Its record is written before the request, so that whoever
+        comes after us asks again under the same name instead of renting twice."""
+        owner = self.owner
+        kind = owner.kinds.get(stored.kind) or placeholder_kind(stored.kind)
+        offer = Offer(stored.kind, stored.zone, stored.spot)
+        now = now_us()
+        self.pending[name] = [
+            Machine(f"{name}/{i}", kind, stored.zone, stored.spot, now)
+            for i in range(stored.number)
+        ]
+        backoff = Backoff(200_000, 4_000_000, owner.member.chance)
+        try:
+            if fresh:
+                await owner.state.multi(owner.guards(), [Put(HIRE + name, stored)])
+            owner.hires[name] = stored
+            while True:
+                if not owner.acts:
+                    await asyncio.sleep(0.5)
+                    continue
+                try:
+                    request = Hire(name, stored.kind, stored.zone, stored.spot, stored.number)
+                    names = await self.cloud.hire(request)
+                    break
+                except NoCapacity:
+                    self.shop.refused(offer, now_us())
+                    log.info("no capacity: %s in %s%s", stored.kind, stored.zone,
+                             " (spot)" if stored.spot else "")  # fmt: skip
+                    await self._settle(name, None)
+                    return
+                except (Failed, Unavailable) as fault:
+                    log.info("hire %s: %s", name, fault)
+                    await backoff.rest()
+            log.info("hired %s: %s", name, ", ".join(names))
+            if len(names) < stored.number:
+                self.shop.refused(offer, now_us())
+            else:
+                self.shop.served(offer)
+            stored.names = names
+            self._expect(stored, names)
+            await self._settle(name, stored)
+        except TROUBLE as fault:
+            log.info("hire %s not recorded: %s", name, fault)
+        finally:
+            self.pending.pop(name, None)
+
+    async def _settle(self, name: str, stored: StoredHire | None) -> None:
+        """Write down how a hire ended."""
+        change = Drop(HIRE + name) if stored is None else Put(HIRE + name, stored)
+        if stored is None:
+            self.owner.hires.pop(name, None)
+        backoff = Backoff(200_000, 4_000_000, self.owner.member.chance)
+        for _ in range(8):
+            try:
+                await self.owner.state.multi(self.owner.guards(), [change])
+                return
+            except (Failed, Unavailable):
+                await backoff.rest()
+
+    def _expect(self, stored: StoredHire, names: list[str]) -> None:
+        now = now_us()
+        kind = self.owner.kinds.get(stored.kind) or placeholder_kind(stored.kind)
+        for name in names:
+            if name in self.owner.block.gone:
+                continue
+            machine = Machine(name, kind, stored.zone, stored.spot, now)
+            machine.made_at = now - max(0, time.time_ns() // 1000 - stored.at)
+            self.owner.block.add_machine(machine)
+
+    # Listing and deleting
+
+    async def _list(self) -> None:
+        """Compare with the cloud's list: unexpected machines are taken in, failed ones go."""
+        pause = max(4.0, self.settings.facts.cloud.list_lag_s)
+        while True:
+            await asyncio.sleep(pause)
+            if not self.owner.acts or not self.owner.kinds:
+                continue
+            try:
+                rented = await self.cloud.machines()
+            except (Failed, Unavailable, NoCapacity) as fault:
+                log.info("machine list: %s", fault)
+                continue
+            self._compare(rented, now_us())
+            await self._tidy_hires()
+
+    def _compare(self, rented: list[Rented], now: int) -> None:
+        block = self.owner.block
+        for one in rented:
+            if one.name in block.gone:
+                continue
+            machine = block.machines.get(one.name)
+            if machine is None:
+                kind = self.owner.kinds.get(one.type) or placeholder_kind(one.type)
+                machine = Machine(one.name, kind, one.zone, one.spot, now)
+                machine.made_at = now - int(one.age_s * US)
+                block.add_machine(machine)
+                log.info("unexpected machine %s (%s)", one.name, one.stage)
+            if one.stage == "failed" and not machine.deleting:
+                log.info("machine %s has failed", one.name)
+                machine.deleting = True
+
+    async def _tidy_hires(self) -> None:
+        """Records of hires whose machines are all up or gone are not needed any more."""
+        block = self.owner.block
+        for name, stored in list(self.owner.hires.items()):
+            if stored.names is None:
+                continue
+            waiting = [
+                n for n in stored.names
+                if n in block.machines and not block.machines[n].recorded
+            ]  # fmt: skip
+            if not waiting:
+                try:
+                    await self.owner.state.multi(self.owner.guards(), [Drop(HIRE + name)])
+                    self.owner.hires.pop(name, None)
+                except TROUBLE:
+                    return
+
+    async def _delete(self) -> None:
+        """Delete what is to go, and forget it once the cloud says that it is gone."""
+        backoff = Backoff(500_000, 4_000_000, self.owner.member.chance)
+        block = self.owner.block
+        while True:
+            await asyncio.sleep(0.3)
+            names = [m.name for m in block.machines.values() if m.deleting][:MOST_NAMES]
+            if not names or not self.owner.acts:
+                continue
+            try:
+                await self.cloud.delete(names)
+                backoff.reset()
+            except (Failed, Unavailable, NoCapacity) as fault:
+                log.info("deleting machines: %s", fault)
+                await backoff.rest()
+                continue
+            now = now_us()
+            dropped = [n for n in names if block.machines[n].recorded]
+            for name in names:
+                self.owner.workers.forget(block.machines[name].address)
+                block.drop_machine(name, now)
+            self.owner.wake.set()
+            for low in range(0, len(dropped), self.settings.facts.state.txn_ops):
+                await self._forget(dropped[low : low + self.settings.facts.state.txn_ops])
+
+    async def _forget(self, names: list[str]) -> None:
+        for _ in range(5):
+            try:
+                await self.owner.state.multi(
+                    self.owner.guards(), [Drop(MACHINE + name) for name in names]
+                )
+                return
+            except (Failed, Unavailable):
+                await asyncio.sleep(0.5)
+            except (Conflict, NoHold):
+                return
--- /dev/null
+++ b/basaltlead/settings.py
@@ -0,0 +1,166 @@
+"""Settings: the platform's TOML file and the operators' optional YAML file.
+
+Fields nobody here knows are ignored, since the platform may add some. Everything else is checked
+once, at the start, and a fault names its field.
+"""
+
+import tomllib
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+US = 1_000_000
+
+Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9_.-]+$")]
+Address = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+Positive = Annotated[float, Meta(gt=0, lt=1e9)]
+Amount = Annotated[float, Meta(ge=0, lt=1e9)]
+Count = Annotated[int, Meta(ge=1, lt=1_000_000)]
+
+
+class SettingsError(Exception):
+    """A settings file that can't be used; the text names the field."""
+
+
+class Peer(Struct):
+    member: Name
+    location: str
+    address: Address
+
+
+class Services(Struct):
+    cloud: Address
+    state: Address
+
+
+class Team(Struct):
+    name: str
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(Struct, rename={"lane": "class"}):
+    kind: str
+    lane: str = ""
+    within_s: Amount = 0.0
+    share: Amount = 0.0
+    times: Amount = 1.0
+
+
+class Workers(Struct):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(Struct):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Count
+
+
+class CloudLimits(Struct):
+    rps: Positive
+    list_lag_s: Amount
+
+
+class Quota(Struct):
+    core_share: Positive = 1.0
+    mem_mb: Positive = 256.0
+    fd_limit: Count = 500
+
+
+class Facts(Struct):
+    nodes: Count
+    zones: list[str]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    clock_off_ms: Amount = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    quota: Quota = Quota()
+
+
+class Operator(Struct, forbid_unknown_fields=True):
+    """The operators' own YAML file. Every field has a default; see docs/operations.md."""
+
+    round_s: Annotated[float, Meta(ge=1, le=600)] = 10.0
+    refill_s: Annotated[float, Meta(ge=1, le=86_400)] = 300.0
+    budget: Positive = 1000.0
+    reserve_price: Positive = 0.01
+    threshold: Annotated[float, Meta(ge=0, le=1)] = 0.05
+    idle_s: Annotated[float, Meta(ge=0, le=3600)] = 15.0
+    right_s: Annotated[float, Meta(ge=1, le=600)] | None = None
+
+
+class Settings(Struct):
+    member: Name
+    location: str
+    front: Address
+    internal_addr: Address
+    services: Services
+    facts: Facts
+    known: list[Peer] = []
+    operator: Operator = Operator()
+
+    @property
+    def right_us(self) -> int:
+        """How long a hold lasts.
+
+        A cancellation may be told just after the owner lost its way to the state service; the
+        owner then acts for a whole right, and its workers for a lease after that. Both and a
+        margin must fit into `cancel_s`.
+        """
+        w = self.facts.workers
+        room = (w.cancel_s - w.lease_s * 1.01) * 0.8 - 1.0
+        wished = self.operator.right_s if self.operator.right_s is not None else room
+        return int(min(wished, room) * US)
+
+
+def _convert(data: Any, kind: Any, where: str) -> Any:
+    try:
+        return msgspec.convert(data, kind, strict=kind is not Operator)
+    except msgspec.ValidationError as fault:
+        text = str(fault)
+        what, _, path = text.partition(" - at `$")
+        field = path.rstrip("`").lstrip(".")
+        raise SettingsError(f"{where}: {field + ': ' if field else ''}{what}") from None
+
+
+def load(path: str, operator_path: str | None = None) -> Settings:
+    """Read and check both files."""
+    try:
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
+    except OSError as fault:
+        raise SettingsError(f"{path}: {fault.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        raise SettingsError(f"{path}: not TOML: {fault}") from None
+    data.pop("operator", None)
+    settings: Settings = _convert(data, Settings, path)
+    if operator_path is not None:
+        settings.operator = _load_operator(operator_path)
+    if settings.right_us < US // 2:
+        raise SettingsError(f"{path}: facts.workers.cancel_s: too short for lease_s")
+    return settings
+
+
+def _load_operator(path: str) -> Operator:
+    import yaml  # read only when such a file is given: controllers pay for every import
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = yaml.safe_load(file)
+    except OSError as fault:
+        raise SettingsError(f"{path}: {fault.strerror}") from None
+    except (yaml.YAMLError, UnicodeDecodeError) as fault:
+        raise SettingsError(f"{path}: not YAML: {' '.join(str(fault).split())}") from None
+    operator: Operator = _convert({} if data is None else data, Operator, path)
+    return operator
--- /dev/null
+++ b/basaltlead/wire/cloud.py
@@ -0,0 +1,53 @@
+"""Controllers -> cloud."""
+
+from msgspec import Struct
+
+
+class MachineType(Struct, rename={"name": "Label", "cpus": "Cores", "gpus": "Gpus",
+                                  "memory_gb": "MemoryGb", "cache_gb": "LocalGb",
+                                  "pull_gb_per_s": "PullGbPerS", "price": "Rate",
+                                  "spot_price": "MarketPrice", "boot_s": "ReadyS",
+                                  "zones": "Yards"}):  # fmt: skip
+    name: str
+    cpus: float
+    gpus: float
+    memory_gb: float
+    price: float
+    boot_s: float
+    zones: list[str]
+    cache_gb: float = 0.0
+    pull_gb_per_s: float = 1.0
+    spot_price: float | None = None
+
+
+class Types(Struct, rename={"types": "Grades"}):
+    types: list[MachineType]
+
+
+class Hire(Struct, rename={"hire": "Hire", "type": "Grade", "zone": "Yard", "spot": "Loaners",
+                           "number": "Number"}):  # fmt: skip
+    hire: str
+    type: str
+    zone: str
+    spot: bool
+    number: int
+
+
+class Names(Struct, rename={"machines": "Anvils"}):
+    machines: list[str]
+
+
+class Rented(Struct, rename={"name": "Ref", "address": "Addr", "type": "Grade", "zone": "Yard",
+                             "spot": "Loaners", "stage": "Stage", "age_s": "HeldS"}):  # fmt: skip
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    stage: str
+    address: str | None = None
+    age_s: float = 0.0
+
+
+class Page(Struct, rename={"machines": "Anvils", "more": "HasNext"}):
+    machines: list[Rented]
+    more: bool = False
--- /dev/null
+++ b/basaltlead/wire/users.py
@@ -0,0 +1,51 @@
+"""Users -> controllers."""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+REF = r"^req-[0-9]{6,15}\Z"
+
+Text = Annotated[str, Meta(min_length=1, max_length=100)]
+Positive = Annotated[float, Meta(gt=0, le=1e6)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+
+
+class Submission(Struct, frozen=True, rename={
+    "ref": "Ref", "lane": "Lane", "team": "Crew", "shape": "Shape", "rank": "Rank",
+    "tasks": "Pieces", "cpus": "Cores", "gpus": "Gpus", "memory_gb": "MemoryGb",
+    "image": "Mould", "image_gb": "PullGb", "types": "Grades", "zone": "Yard",
+    "one_zone": "OneZone", "apart": "Apart", "spot": "Loaners", "guess_s": "GuessS",
+    "mark_every_s": "MarkEveryS", "mark_s": "MarkS", "due_s": "DueS",
+}):  # fmt: skip
+    ref: Annotated[str, Meta(pattern=REF)]
+    lane: Text
+    team: Text
+    shape: Literal["batch", "group"]
+    rank: Literal["production", "high", "standard", "best_effort"]
+    tasks: Annotated[int, Meta(ge=1, le=100_000)]
+    cpus: Amount
+    gpus: Amount
+    memory_gb: Amount
+    image: Text
+    image_gb: Amount
+    one_zone: bool
+    apart: bool
+    spot: bool
+    guess_s: Amount
+    mark_every_s: Amount
+    mark_s: Amount
+    types: list[Text] | None = None
+    zone: Text | None = None
+    due_s: Amount | None = None
+
+
+class JobAnswer(Struct, rename={"ref": "Ref", "stage": "Stage"}):
+    ref: str
+    stage: str
+    done: int = 0
+    running: int = 0
+
+
+class Refusal(Struct):
+    error: str
