--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -335,9 +335,7 @@
         machine.rest[(*attempt.key, attempt.token)] = rest
         if why == "done":
             machine.faults.clear()
-            if (attempt.ran_at and not job.gang and not work.closed) or (
-                attempt.ran_at and not work.closed and not work.done_count
-            ):
+            if attempt.ran_at and not work.closed and not (job.gang and work.done_count):
                 self._learn(job, now - attempt.ran_at)
             self._result(work, attempt.index)
         self._remove(attempt, now)
--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 on `httptools` over `asyncio.Protocol`: a server and a client, keep-alive, no pipelining."""
+"""HTTP/1.1 on `httptools` over `asyncio.Protocol`: server and client, no pipelining."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -70,7 +70,7 @@
     list_lag_s: Amount
 
 
-class Quota(Struct):
+class Quota(Struct, frozen=True):
     core_share: Positive = 1.0
     mem_mb: Positive = 256.0
     fd_limit: Count = 500
@@ -88,7 +88,7 @@
     quota: Quota = Quota()
 
 
-class Operator(Struct, forbid_unknown_fields=True):
+class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """The operators' own YAML file. Every field has a default; see docs/operations.md."""
 
     round_s: Annotated[float, Meta(ge=1, le=600)] = 10.0
--- a/basaltlead/wire/workers.py
+++ b/basaltlead/wire/workers.py
@@ -4,7 +4,7 @@
 
 from msgspec import Meta, Struct
 
-Whole = Annotated[int, Meta(ge=0, lt=2**64)]
+Whole = Annotated[int, Meta(ge=0)]
 
 
 class Listed(Struct, rename={"task": "Piece", "token": "Try", "stage": "Stage", "why": "Cause",
