--- /dev/null
+++ b/basaltlead/clock.py
@@ -0,0 +1,23 @@
+"""The two clocks of a process, in whole microseconds. Tests put their own in place."""
+
+import time
+from collections.abc import Callable
+
+_steady: Callable[[], int] = time.monotonic_ns
+_wall: Callable[[], int] = time.time_ns
+
+
+def now_us() -> int:
+    """The steady clock: for spans and rights."""
+    return _steady() // 1000
+
+
+def wall_us() -> int:
+    """The time of day, off by up to what the settings say: for ages that outlive a process."""
+    return _wall() // 1000
+
+
+def use(steady: Callable[[], int], wall: Callable[[], int]) -> None:
+    """Take other sources, in nanoseconds."""
+    global _steady, _wall
+    _steady, _wall = steady, wall
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -1,7 +1,6 @@
 """Users: submit, poll, cancel. Whatever is told was stored, or read, before."""
 
 import re
-import time
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -9,10 +8,11 @@
 
 from basaltlead.clients.base import Unavailable, encode
 from basaltlead.clients.state import Conflict, NoHold, State
+from basaltlead.clock import now_us, wall_us
 from basaltlead.core.block import Limits
 from basaltlead.core.model import Kind
 from basaltlead.logs import Brake, log
-from basaltlead.membership import Membership, now_us
+from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response
 from basaltlead.net.limiter import Limiter
 from basaltlead.records import (
@@ -104,7 +104,7 @@
             return known if known is not None else refusal(422, never)
         guards = [self.member.guard(), Guard(OPEN + sent.ref, 0), Guard(OVER + sent.ref, 0)]
         try:
-            stored = StoredJob(sent, time.time_ns() // 1000)
+            stored = StoredJob(sent, wall_us())
             await self.state.multi(guards, [Put(OPEN + sent.ref, stored)])
         except Conflict as conflict:
             if not any(key.endswith("/" + sent.ref) for key in conflict.failed):
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -3,13 +3,13 @@
 import asyncio
 import os
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.state import Conflict, NoHold, State, TooOld
+from basaltlead.clock import now_us
 from basaltlead.core import leadership
 from basaltlead.core.leadership import (
     BATON,
@@ -30,10 +30,6 @@
 WATCH_MS = 4000
 
 
-def now_us() -> int:
-    return time.monotonic_ns() // 1000
-
-
 class Membership:
     """Keeps the hold alive and the picture of the cluster fresh.
 
--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -22,11 +22,12 @@
 
 
 class Request:
-    __slots__ = ("body", "method", "path")
+    __slots__ = ("body", "method", "path", "query")
 
-    def __init__(self, method: str, path: str, body: bytes) -> None:
+    def __init__(self, method: str, path: str, query: str, body: bytes) -> None:
         self.method = method
         self.path = path
+        self.query = query
         self.body = body
 
 
@@ -125,8 +126,9 @@
             return
         self.busy = True
         self.started = False
-        raw = self.url.split(b"?", 1)[0].decode("latin-1")
-        request = Request(self.parser.get_method().decode(), unquote(raw), b"".join(self.parts))
+        raw, _, query = self.url.decode("latin-1").partition("?")
+        method = self.parser.get_method().decode()
+        request = Request(method, unquote(raw), query, b"".join(self.parts))
         keep = self.parser.should_keep_alive()
         self._reset()
         try:
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -10,12 +10,13 @@
 from basaltlead.clients.base import Backoff, Unavailable, encode
 from basaltlead.clients.cloud import Cloud, NoCapacity
 from basaltlead.clients.state import State
+from basaltlead.clock import now_us
 from basaltlead.core.fleet import Shop
 from basaltlead.core.market import Market, Terms, targets_of
 from basaltlead.core.model import US, Kind
 from basaltlead.frontdesk import FrontDesk, refusal
 from basaltlead.logs import Brake, log
-from basaltlead.membership import Membership, now_us
+from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response, Server
 from basaltlead.owner import Owner, limits_of
 from basaltlead.records import kind_of
@@ -59,6 +60,10 @@
             self._spawn(work, name)
         await asyncio.Event().wait()
 
+    def every_task(self) -> list[asyncio.Task[None]]:
+        """All that runs in this process: a crash ends it without a word."""
+        return [*self.tasks, *(self.owner.tasks if self.owner is not None else ())]
+
     def _spawn(self, work: Any, name: str) -> None:
         """A loop that is started again, and logged, should it ever fail."""
         task = asyncio.get_running_loop().create_task(self._forever(work, name), name=name)
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -1,7 +1,6 @@
 """The owner of a block: loads it, answers its workers, starts its tasks, stores their results."""
 
 import asyncio
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -10,12 +9,13 @@
 from basaltlead.clients.base import Backoff, Unavailable, encode
 from basaltlead.clients.state import Conflict, NoHold, State, TooOld
 from basaltlead.clients.workers import Workers
+from basaltlead.clock import now_us, wall_us
 from basaltlead.core.block import Block, Limits, Timing, Wish
 from basaltlead.core.leadership import Grant, block_key
 from basaltlead.core.market import Market, TeamRecord
 from basaltlead.core.model import US, Kind, Machine, Work
 from basaltlead.logs import log
-from basaltlead.membership import Membership, now_us
+from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Response
 from basaltlead.records import (
     HIRE,
@@ -176,7 +176,7 @@
     @staticmethod
     def _age(at: int) -> int:
         """Age of something by the time of day, which may be off a little."""
-        return max(0, time.time_ns() // 1000 - at)
+        return max(0, wall_us() - at)
 
     def _take_open(self, key: str, raw: msgspec.Raw, stamp: int, now: int) -> None:
         ref, stretch = split_open(key)
@@ -292,7 +292,7 @@
 
     async def _store_machine(self, machine: Machine) -> None:
         stored = StoredMachine(
-            machine.kind.name, machine.zone, machine.spot, machine.address, time.time_ns() // 1000
+            machine.kind.name, machine.zone, machine.spot, machine.address, wall_us()
         )
         try:
             await self.state.multi(self.guards(), [Put(MACHINE + machine.name, stored)])
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -1,17 +1,16 @@
 """Dealings with the cloud: what is rented comes to what the block needs."""
 
 import asyncio
-import time
 
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.cloud import Cloud, NoCapacity
 from basaltlead.clients.state import Conflict, NoHold
+from basaltlead.clock import now_us, wall_us
 from basaltlead.core import fleet
 from basaltlead.core.fleet import Need, Offer, Shop, Spare
 from basaltlead.core.market import Market
 from basaltlead.core.model import US, Kind, Machine
 from basaltlead.logs import log
-from basaltlead.membership import now_us
 from basaltlead.net.http import Failed
 from basaltlead.owner import Owner, placeholder_kind
 from basaltlead.records import HIRE, MACHINE, StoredHire
@@ -164,9 +163,7 @@
     def _start_hire(self, offer: Offer, count: int) -> None:
         self.sequence += 1
         name = f"h-{self.owner.grant.baton}-{self.sequence}"
-        stored = StoredHire(
-            offer.kind, offer.zone, offer.spot, min(count, 50), time.time_ns() // 1000
-        )
+        stored = StoredHire(offer.kind, offer.zone, offer.spot, min(count, 50), wall_us())
         self.owner.spawn(self._hire(name, stored, fresh=True), f"hire {name}")
 
     async def _hire(self, name: str, stored: StoredHire, fresh: bool = False) -> None:
@@ -235,7 +232,7 @@
             if name in self.owner.block.gone:
                 continue
             machine = Machine(name, kind, stored.zone, stored.spot, now)
-            machine.made_at = now - max(0, time.time_ns() // 1000 - stored.at)
+            machine.made_at = now - max(0, wall_us() - stored.at)
             self.owner.block.add_machine(machine)
 
     # Listing and deleting
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,687 @@
+"""Stand-ins for the state service, the cloud, the workers and the users, by their protocols."""
+
+import asyncio
+import json
+import random
+from typing import Any
+from urllib.parse import parse_qs
+
+from basaltlead.net.http import Pool, Request, Response, Server
+from tests.world import Loop, on_host
+
+
+def reply(status: int, value: Any) -> Response:
+    return Response(status, json.dumps(value).encode())
+
+
+class FakeState:
+    """Keys, holds and watches; can refuse everybody or single hosts, and lose its answers."""
+
+    HOST = "10.2.0.1"
+    ADDRESS = "10.2.0.1:2379"
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.ledger = 0
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.log: list[dict[str, Any]] = []
+        self.holds: dict[int, tuple[float, float]] = {}
+        self.next_hold = 0
+        self.down = False
+        self.refused: set[str] = set()
+        self.event = asyncio.Event()
+        self.writes = 0
+
+    async def start(self) -> None:
+        server = Server(self.handle, 1000)
+        await server.start(self.ADDRESS)
+        self.loop.create_task(self._expire())
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            if self.down:
+                continue
+            for hold, (until, _) in list(self.holds.items()):
+                if self.loop.time() > until:
+                    self._end(hold)
+
+    def _end(self, hold: int) -> None:
+        self.holds.pop(hold, None)
+        gone = [key for key, (_, _, on) in self.keys.items() if on == hold]
+        if gone:
+            self.ledger += 1
+            for key in gone:
+                del self.keys[key]
+                self.log.append({"Drop": key, "Stamp": self.ledger})
+            self._tell()
+
+    def _tell(self) -> None:
+        self.event.set()
+        self.event = asyncio.Event()
+
+    def outage_over(self) -> None:
+        self.down = False
+        now = self.loop.time()
+        self.holds = {hold: (now + ttl, ttl) for hold, (_, ttl) in self.holds.items()}
+
+    async def handle(self, request: Request) -> Response:
+        await asyncio.sleep(0.002)
+        query = {k: v[0] for k, v in parse_qs(request.query).items()}
+        path = request.path
+        if path == "/changes":
+            return await self._changes(query)
+        if self.down:
+            return reply(503, {"error": "trouble"})
+        body = json.loads(request.body) if request.body else {}
+        if path == "/kv":
+            return self._list(query)
+        if path.startswith("/kv/"):
+            found = self.keys.get(path[4:])
+            if found is None:
+                return reply(404, {"Ledger": self.ledger})
+            return reply(200, {"Path": path[4:], "V": found[0], "Stamp": found[1]})
+        if path == "/multi":
+            return self._multi(body)
+        if path == "/holds":
+            self.next_hold += 1
+            ttl = body["TtlMs"] / 1000
+            self.holds[self.next_hold] = (self.loop.time() + ttl, ttl)
+            return reply(200, {"Permit": self.next_hold})
+        hold = int(path.split("/")[2])
+        if hold not in self.holds:
+            return reply(404, {"error": "no such lease"})
+        ttl = self.holds[hold][1]
+        self.holds[hold] = (self.loop.time() + ttl, ttl)
+        return reply(200, {})
+
+    def _list(self, query: dict[str, str]) -> Response:
+        most = int(query.get("Most", "1000"))
+        names = sorted(
+            k for k in self.keys if k.startswith(query["Starts"]) and k > query.get("Since", "")
+        )
+        rows = [{"Path": k, "V": self.keys[k][0], "Stamp": self.keys[k][1]} for k in names[:most]]
+        return reply(200, {"Rows": rows, "HasNext": len(names) > most, "Ledger": self.ledger})
+
+    def _multi(self, body: dict[str, Any]) -> Response:
+        failed = [
+            guard["Path"] for guard in body.get("Guards", [])
+            if self.keys.get(guard["Path"], (None, 0, None))[1] != guard["Stamp"]
+        ]  # fmt: skip
+        if failed:
+            return reply(409, {"failed": failed, "Ledger": self.ledger})
+        changes = body.get("Apply", [])
+        for change in changes:
+            if change.get("Permit") is not None and change["Permit"] not in self.holds:
+                return reply(400, {"error": "no such lease"})
+        if changes:
+            self.ledger += 1
+        for change in changes:
+            self.writes += 1
+            if "Put" in change:
+                entry = (change["V"], self.ledger, change.get("Permit"))
+                self.keys[change["Put"]] = entry
+                self.log.append({"Put": change["Put"], "V": change["V"], "Stamp": self.ledger})
+            elif self.keys.pop(change["Drop"], None) is not None:
+                self.log.append({"Drop": change["Drop"], "Stamp": self.ledger})
+        self._tell()
+        return reply(200, {"Ledger": self.ledger})
+
+    async def _changes(self, query: dict[str, str]) -> Response:
+        end = self.loop.time() + int(query.get("HoldMs", "0")) / 1000
+        since = int(query["Since"])
+        while True:
+            if not self.down:
+                log = [
+                    change for change in self.log
+                    if change["Stamp"] > since
+                    and change.get("Put", change.get("Drop")).startswith(query["Starts"])
+                ]  # fmt: skip
+                if log or self.loop.time() >= end:
+                    return reply(200, {"Ledger": self.ledger, "Log": log})
+            try:
+                async with asyncio.timeout(max(0.01, min(0.5, end - self.loop.time()))):
+                    await self.event.wait()
+            except TimeoutError:
+                pass
+
+
+class FakeCloud:
+    """Rents FakeWorkers; its list lags."""
+
+    HOST = "10.2.0.2"
+    ADDRESS = "10.2.0.2:8443"
+    TYPES = (
+        {"Label": "small", "Cores": 4, "Gpus": 0, "MemoryGb": 16, "LocalGb": 50, "Rate": 0.2,
+         "PullGbPerS": 1.0, "MarketPrice": 0.1, "ReadyS": 5, "Yards": ["a", "b"]},
+        {"Label": "large", "Cores": 16, "Gpus": 2, "MemoryGb": 64, "LocalGb": 50, "Rate": 0.9,
+         "PullGbPerS": 1.0, "MarketPrice": 0.4, "ReadyS": 5, "Yards": ["a", "b"]},
+    )  # fmt: skip
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.hires: dict[str, list[str]] = {}
+        self.machines: dict[str, FakeWorker] = {}
+        self.count = 0
+        self.capacity = 12
+
+    async def start(self) -> None:
+        await Server(self.handle, 1000).start(self.ADDRESS)
+
+    async def handle(self, request: Request) -> Response:
+        await asyncio.sleep(0.02)
+        path = request.path
+        if path == "/machine_types":
+            return reply(200, {"Grades": list(self.TYPES)})
+        if path == "/machines" and request.method == "GET":
+            rows = [w.listed() for w in self.machines.values() if w.age() > 2]
+            return reply(200, {"Anvils": rows, "HasNext": False})
+        body = json.loads(request.body)
+        if path == "/machines/delete":
+            for name in body["Anvils"]:
+                worker = self.machines.pop(name, None)
+                if worker is not None:
+                    worker.stop()
+            return reply(200, {})
+        if body["Hire"] not in self.hires:
+            free = min(body["Number"], self.capacity - len(self.machines))
+            if free <= 0:
+                return reply(503, {"error": "no capacity"})
+            names = []
+            for _ in range(free):
+                name = f"m-{self.count:06d}"
+                self.count += 1
+                kind = next(t for t in self.TYPES if t["Label"] == body["Grade"])
+                self.machines[name] = FakeWorker(
+                    self.world, name, kind, body["Yard"], body["Loaners"]
+                )
+                names.append(name)
+            self.hires[body["Hire"]] = names
+        return reply(200, {"Anvils": self.hires[body["Hire"]]})
+
+
+class FakeWorker:
+    """A machine: boots, reports, runs tasks, obeys tokens and its lease."""
+
+    REPORT = 1.0
+    LEASE = 6.0
+
+    def __init__(
+        self, world: "World", name: str, kind: dict[str, Any], zone: str, spot: bool
+    ) -> None:
+        self.world = world
+        self.loop = world.loop
+        self.name = name
+        self.kind = kind
+        self.zone = zone
+        self.spot = spot
+        self.host = f"10.1.0.{int(name[2:]) % 250}"
+        self.address = f"{self.host}:9000"
+        self.born = self.loop.time()
+        self.session = 1
+        self.tick = 0
+        self.baton = 0
+        self.recall: float | None = None
+        self.up = False
+        self.hung = False
+        self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.change = asyncio.Event()
+        self.lease_from = self.born
+        self.work = on_host(self.host, self._live())
+
+    def age(self) -> float:
+        return self.loop.time() - self.born
+
+    def listed(self) -> dict[str, Any]:
+        return {
+            "Ref": self.name, "Addr": self.address, "Grade": self.kind["Label"],
+            "Yard": self.zone, "Loaners": self.spot, "HeldS": self.age(),
+            "Stage": "running" if self.up else "starting",
+        }  # fmt: skip
+
+    def stop(self) -> None:
+        self.work.cancel()
+        self._kill_all()
+        self.world.net.power_off(self.host)
+
+    def _kill_all(self) -> None:
+        for (task, _), entry in self.tasks.items():
+            if entry["Stage"] != "ended":
+                self.world.referee.left(task, self)
+        self.tasks.clear()
+
+    async def _live(self) -> None:
+        await asyncio.sleep(self.kind["ReadyS"])
+        await Server(self.handle, 100).start(self.address)
+        self.up = True
+        self.lease_from = self.loop.time()
+        clockwork = self.loop.create_task(self._run())
+        try:
+            await self._report()
+        finally:
+            clockwork.cancel()
+
+    async def _report(self) -> None:
+        nodes = self.world.fronts()
+        at = self.world.chance.randrange(len(nodes))
+        pools: dict[str, Pool] = {}
+        while True:
+            _, address = nodes[at % len(nodes)]
+            pool = pools.setdefault(address, Pool(address, 2))
+            sent, session = self.loop.time(), self.session
+            body = json.dumps(self.report()).encode()
+            try:
+                status, answer = await pool.request("POST", "/agent/beat", body, 4_000_000)
+            except Exception:
+                status, answer = 0, b""
+            if status == 200:
+                self._obey(json.loads(answer), sent, session)
+                await self._pause()
+            elif status == 421:
+                pool.close()
+                owner = json.loads(answer).get("Foreman")
+                found = [i for i, node in enumerate(nodes) if node[0] == owner]
+                if found and found[0] != at % len(nodes):
+                    at = found[0]
+                    await asyncio.sleep(self.world.chance.uniform(0, 0.5))
+                else:
+                    at += 1
+                    await asyncio.sleep(1)
+            else:
+                at += 1
+                await asyncio.sleep(1)
+
+    async def _pause(self) -> None:
+        self.change.clear()
+        await asyncio.sleep(0.5)
+        try:
+            async with asyncio.timeout(self.REPORT * self.world.chance.uniform(0.75, 1.25) - 0.5):
+                await self.change.wait()
+        except TimeoutError:
+            pass
+
+    def report(self) -> dict[str, Any]:
+        self.tick += 1
+        tasks = [
+            {"Piece": task, "Try": token, "Stage": e["Stage"]}
+            | ({"Cause": e["Cause"], "Saved": False} if e["Stage"] == "ended" else {})
+            for (task, token), e in self.tasks.items()
+        ]
+        recall = None if self.recall is None else max(0.0, self.recall - self.loop.time())
+        return {
+            "Anvil": self.name, "Addr": self.address, "Grade": self.kind["Label"],
+            "Yard": self.zone, "Loaners": self.spot, "Shift": self.session, "Tick": self.tick,
+            "Baton": self.baton, "RecallS": recall, "Pieces": tasks,
+        }  # fmt: skip
+
+    def _obey(self, answer: dict[str, Any], sent: float, session: int) -> None:
+        if session != self.session or answer.get("Baton", -1) < self.baton or self.hung:
+            return
+        if answer["Baton"] > self.baton:
+            self.baton = answer["Baton"]
+            self.change.set()
+        self.lease_from = sent
+        self._orders(answer["Orders"])
+
+    def _orders(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["Piece"], order["Try"])
+            if order["Verb"] == "run":
+                self._start(key)
+            elif order["Verb"] == "forget":
+                entry = self.tasks.get(key)
+                if entry is not None and entry["Stage"] == "ended":
+                    del self.tasks[key]
+            elif key in self.tasks and self.tasks[key]["Stage"] != "ended":
+                self._end(key, "stopped")
+        if orders:
+            self.change.set()
+
+    def _start(self, key: tuple[str, int]) -> None:
+        if key in self.tasks:
+            return
+        job = self.world.jobs.get(key[0].partition("/")[0])
+        if job is None:
+            self.tasks[key] = {"Stage": "ended", "Cause": "no_such"}
+            return
+        on = [t for (t, _), e in self.tasks.items() if e["Stage"] != "ended"]
+        if key[0] in on:
+            self.tasks[key] = {"Stage": "ended", "Cause": "in_use"}
+            return
+        used = sum(self.world.jobs[t.partition("/")[0]]["Cores"] for t in on)
+        if used + job["Cores"] > self.kind["Cores"] + 1e-9:
+            self.tasks[key] = {"Stage": "ended", "Cause": "full"}
+            return
+        self.tasks[key] = {"Stage": "fetching", "at": self.loop.time() + 0.5}
+
+    def _end(self, key: tuple[str, int], why: str) -> None:
+        if self.tasks[key]["Stage"] != "fetching":
+            self.world.referee.left(key[0], self)
+        self.tasks[key] = {"Stage": "ended", "Cause": why}
+        self.change.set()
+
+    async def _run(self) -> None:
+        """Tasks go on, and the lease runs out, unless the machine hangs."""
+        while True:
+            await asyncio.sleep(0.1)
+            if self.hung:
+                continue
+            now = self.loop.time()
+            if now - self.lease_from > self.LEASE:
+                self._kill_all()
+                self.session += 1
+                self.tick = 0
+                self.lease_from = now
+                self.change.set()
+            for key, entry in list(self.tasks.items()):
+                task = key[0]
+                job = self.world.jobs[task.partition("/")[0]]
+                if entry["Stage"] == "fetching" and now >= entry["at"]:
+                    self.world.referee.entered(task, self, key[1])
+                    whole = job["Shape"] == "group"
+                    entry["Stage"] = "gathering" if whole else "running"
+                    entry["at"] = now + job["RunS"]
+                    self.change.set()
+                if entry["Stage"] == "gathering" and self.world.gang_complete(task, key[1]):
+                    entry["Stage"] = "running"
+                    entry["at"] = now + job["RunS"]
+                    self.change.set()
+                if entry["Stage"] == "running" and now >= entry["at"]:
+                    self.world.referee.completed(task)
+                    self._end(key, "error" if job.get("Broken") else "done")
+
+    async def handle(self, request: Request) -> Response:
+        while self.hung:
+            await asyncio.sleep(0.2)
+        if request.path == "/status":
+            return reply(200, self.report())
+        body = json.loads(request.body)
+        if body["Baton"] < self.baton or body["Shift"] != self.session:
+            return reply(409, self.report())
+        if body["Baton"] > self.baton:
+            self.baton = body["Baton"]
+            self.change.set()
+        self._orders(body["Orders"])
+        return reply(200, self.report())
+
+
+class Referee:
+    """Watches the rules from outside."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.on: dict[str, FakeWorker] = {}
+        self.results: set[str] = set()
+        self.told: dict[str, str] = {}
+        self.cancelled_at: dict[str, float] = {}
+        self.starts = 0
+        self.broken: list[str] = []
+
+    def say(self, text: str) -> None:
+        self.broken.append(f"{self.world.loop.time():.2f} {text}")
+
+    def entered(self, task: str, worker: FakeWorker, token: int) -> None:
+        self.starts += 1
+        ref = task.partition("/")[0]
+        job = self.world.jobs[ref]
+        if task in self.on:
+            self.say(f"ran_twice {task}: {self.on[task].name} and {worker.name}")
+        self.on[task] = worker
+        self._places(ref, job, worker)
+        team = [t for t in self.on if self.world.jobs[t.partition("/")[0]]["Crew"] == job["Crew"]]
+        used = sum(self.world.jobs[t.partition("/")[0]]["Cores"] for t in team)
+        most = self.world.limits.get(job["Crew"], 0)
+        if most and used > most + 1e-9:
+            self.say(f"quota {job['Crew']}: {used}")
+        if ref in self.cancelled_at:
+            self._late(task)
+
+    def _places(self, ref: str, job: dict[str, Any], worker: FakeWorker) -> None:
+        if job["Grades"] is not None and worker.kind["Label"] not in job["Grades"]:
+            self.say(f"wrong_place {ref}: type {worker.kind['Label']}")
+        if job["Yard"] is not None and worker.zone != job["Yard"]:
+            self.say(f"wrong_place {ref}: zone {worker.zone}")
+        if worker.spot and not job["Loaners"]:
+            self.say(f"wrong_place {ref}: spot")
+        zones = [w.zone for t, w in self.on.items() if t.partition("/")[0] == ref]
+        if job["OneZone"] and len(set(zones)) > 1:
+            self.say(f"wrong_place {ref}: several zones")
+        if job["Apart"] and zones.count(worker.zone) > (job["Pieces"] + 1) // 2:
+            self.say(f"wrong_place {ref}: too many in {worker.zone}")
+
+    def _late(self, task: str) -> None:
+        ref = task.partition("/")[0]
+        if self.world.loop.time() > self.cancelled_at[ref] + self.world.CANCEL:
+            self.say(f"ran_cancelled {task}")
+
+    def left(self, task: str, worker: FakeWorker) -> None:
+        if self.on.get(task) is worker:
+            del self.on[task]
+
+    def completed(self, task: str) -> None:
+        self.results.add(task)
+
+    def check(self) -> None:
+        for task in self.on:
+            if task.partition("/")[0] in self.cancelled_at:
+                self._late(task)
+
+    def answered(self, ref: str, verb: str, status: int, body: dict[str, Any]) -> None:
+        """Something was told to a user."""
+        if status == 404 and ref in self.told:
+            self.say(f"forgotten {ref}")
+        if status in (400, 422) and ref in self.told:
+            self.say(f"forgotten {ref}: {status}")
+        if status not in (200, 201):
+            return
+        if ref not in self.world.jobs:
+            self.say(f"invented {ref}")
+            return
+        stage = body["Stage"]
+        before = self.told.get(ref)
+        if before in ("done", "withdrawn") and stage != before:
+            self.say(f"went_back {ref}: {before}, then {stage}")
+        self.told[ref] = stage
+        if stage == "withdrawn":
+            if not self.world.asked_cancel.get(ref):
+                self.say(f"went_back {ref}: nobody cancelled it")
+            self.cancelled_at.setdefault(ref, self.world.loop.time())
+        if stage == "done":
+            pieces = self.world.jobs[ref]["Pieces"]
+            if any(f"{ref}/{i}" not in self.results for i in range(pieces)):
+                self.say(f"not_done {ref}")
+
+
+class World:
+    """Three controllers and everything around them."""
+
+    CANCEL = 20.0
+
+    def __init__(
+        self, loop: Loop, seed: int = 1, nodes: int = 3, limits: dict[str, float] | None = None,
+        operator: dict[str, Any] | None = None,
+    ) -> None:  # fmt: skip
+        self.loop = loop
+        self.net = loop.net
+        self.chance = random.Random(seed)
+        self.limits = limits or {}
+        self.nodes = [f"node-{i}" for i in range(nodes)]
+        self.operator = operator or {}
+        self.state = FakeState(loop)
+        self.cloud = FakeCloud(self)
+        self.referee = Referee(self)
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.asked_cancel: dict[str, bool] = {}
+        self.running: dict[str, asyncio.Task[Any]] = {}
+        self.parts: dict[str, Any] = {}
+
+    def fronts(self) -> list[tuple[str, str]]:
+        return [(name, f"10.0.0.{i + 1}:8080") for i, name in enumerate(self.nodes)]
+
+    def host(self, name: str) -> str:
+        return f"10.0.0.{self.nodes.index(name) + 1}"
+
+    async def start(self) -> None:
+        await self.state.start()
+        await self.cloud.start()
+        for name in self.nodes:
+            self.boot(name)
+
+    def settings(self, name: str) -> Any:
+        from basaltlead.settings import Settings, _convert
+
+        host = self.host(name)
+        return _convert(
+            {
+                "member": name, "location": "a",
+                "front": f"{host}:8080", "internal_addr": f"{host}:8081",
+                "known": [
+                    {"member": n, "location": "a", "address": f"{self.host(n)}:8081"}
+                    for n in self.nodes if n != name
+                ],
+                "services": {"state": FakeState.ADDRESS, "cloud": FakeCloud.ADDRESS},
+                "operator": {"idle_s": 30.0} | self.operator,
+                "facts": {
+                    "nodes": len(self.nodes), "zones": ["a", "b"],
+                    "teams": [
+                        {"name": team, "cpus_max": float(self.limits.get(team, 0))}
+                        for team in ("red", "blue")
+                    ],
+                    "workers": {
+                        "report_s": FakeWorker.REPORT, "lease_s": FakeWorker.LEASE,
+                        "gang_wait_s": 20.0, "gang_peer_s": 4.0, "cancel_s": self.CANCEL,
+                    },
+                    "state": {"rps": 500.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 8},
+                    "cloud": {"rps": 10.0, "list_lag_s": 2.0},
+                },
+            },
+            Settings, "test",
+        )  # fmt: skip
+
+    def boot(self, name: str) -> None:
+        from basaltlead.node import Node
+
+        async def run() -> None:
+            node = Node(self.settings(name))
+            self.parts[name] = node
+            await node.run()
+
+        self.running[name] = on_host(self.host(name), run())
+
+    def crash(self, name: str) -> None:
+        """The process ends without a word."""
+        node = self.parts.pop(name, None)
+        self.running.pop(name).cancel()
+        if node is not None:
+            for task in node.every_task():
+                task.cancel()
+        self.net.power_off(self.host(name))
+
+    def isolate(self, name: str, state: bool = True, cloud: bool = True) -> None:
+        """Cut a controller off from everybody, or from all but some."""
+        for host in self._around(name, state, cloud):
+            self.net.cut(self.host(name), host)
+
+    def rejoin(self, name: str, deliver: bool = True) -> None:
+        for host in self._around(name, True, True):
+            self.net.heal(self.host(name), host, deliver)
+
+    def _around(self, name: str, state: bool, cloud: bool) -> list[str]:
+        out = [self.host(n) for n in self.nodes if n != name]
+        out += [f"10.1.0.{i}" for i in range(250)]
+        out += ["10.9.9.9"]
+        return out + [FakeState.HOST] * state + [FakeCloud.HOST] * cloud
+
+    def owner(self) -> str | None:
+        """The node that acts for the block, if one does."""
+        acting = [n for n, node in self.parts.items() if node.owner and node.owner.acts]
+        assert len(acting) <= 1, acting
+        return acting[0] if acting else None
+
+    def gang_complete(self, task: str, token: int) -> bool:
+        ref = task.partition("/")[0]
+        pieces = self.jobs[ref]["Pieces"]
+        ready = 0
+        for worker in self.cloud.machines.values():
+            for (one, number), entry in worker.tasks.items():
+                if one.partition("/")[0] == ref and number == token:
+                    ready += entry["Stage"] in ("gathering", "running")
+        return ready == pieces
+
+    # Users
+
+    def job(self, number: int, **fields: Any) -> dict[str, Any]:
+        job = {
+            "Ref": f"req-{number:06d}", "Lane": "lane", "Crew": "red", "Shape": "batch",
+            "Rank": "standard", "Pieces": 1, "Cores": 1.0, "Gpus": 0.0, "MemoryGb": 1.0,
+            "Mould": "img", "PullGb": 0.1, "Grades": None, "Yard": None, "OneZone": False,
+            "Apart": False, "Loaners": True, "GuessS": 3.0, "MarkEveryS": 0.0, "MarkS": 0.0,
+            "DueS": None, "RunS": 3.0,
+        }  # fmt: skip
+        return job | fields
+
+    async def ask(
+        self, node: str, method: str, path: str, body: Any = None
+    ) -> tuple[int, dict[str, Any]]:
+        raw = (
+            b"" if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
+        )
+        pool = Pool(dict(self.fronts())[node], 1)
+        try:
+            status, answer = await pool.request(method, path, raw, 5_000_000)
+        except Exception:
+            return 0, {}
+        finally:
+            pool.close()
+        return status, json.loads(answer)
+
+    async def submit(self, job: dict[str, Any], node: str | None = None) -> int:
+        """Until it is accepted, at any node."""
+        self.jobs[job["Ref"]] = job
+        while True:
+            name = node or self.chance.choice(self.nodes)
+            status, body = await self.ask(name, "POST", "/api/jobs", job)
+            self.referee.answered(job["Ref"], "submit", status, body)
+            if status in (200, 201, 400, 422):
+                return status
+            await asyncio.sleep(1)
+
+    async def poll(self, ref: str, node: str | None = None) -> str:
+        name = node or self.chance.choice(self.nodes)
+        status, body = await self.ask(name, "GET", f"/api/jobs/{ref}")
+        self.referee.answered(ref, "poll", status, body)
+        return str(body.get("Stage", status))
+
+    async def cancel(self, ref: str, node: str | None = None) -> str:
+        self.asked_cancel[ref] = True
+        while True:
+            name = node or self.chance.choice(self.nodes)
+            status, body = await self.ask(name, "POST", f"/api/jobs/{ref}/cancel")
+            self.referee.answered(ref, "cancel", status, body)
+            if status in (200, 404):
+                return str(body.get("Stage", status))
+            await asyncio.sleep(1)
+
+    async def until(self, what: Any, seconds: float = 60.0) -> None:
+        end = self.loop.time() + seconds
+        while not what():
+            assert self.loop.time() < end, "waited in vain"
+            self.referee.check()
+            await asyncio.sleep(0.1)
+
+    async def until_done(self, *refs: str, seconds: float = 90.0) -> None:
+        end = self.loop.time() + seconds
+        left = set(refs)
+        while left:
+            assert self.loop.time() < end, f"never done: {left}"
+            self.referee.check()
+            left = {ref for ref in left if await self.poll(ref) != "done"}
+            await asyncio.sleep(1)
+
+    def on(self, ref: str) -> list[str]:
+        return [task for task in self.referee.on if task.partition("/")[0] == ref]
+
+    def verdict(self) -> None:
+        self.referee.check()
+        assert self.referee.broken == []
+        assert self.referee.starts > 0
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,206 @@
+"""Stories of whole controllers in a world in memory."""
+
+import asyncio
+
+from tests.fakes import FakeWorker, World
+from tests.world import Loop, play
+
+
+def test_a_quiet_day_runs_arrays_and_gangs_to_their_end() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        assert await world.submit(world.job(1, Pieces=12)) == 201
+        assert await world.submit(world.job(2, Shape="group", Pieces=3, Cores=4.0)) == 201
+        assert await world.submit(world.job(1, Pieces=12)) == 200
+        await world.until_done("req-000001", "req-000002")
+        assert await world.submit(world.job(1, Pieces=12)) == 200
+        world.verdict()
+
+    play(story)
+
+
+def test_the_owner_crashes_and_its_tasks_live_on() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=6, RunS=30.0))
+        await world.until(lambda: len(world.on("req-000001")) == 6)
+        starts = world.referee.starts
+        owner = world.owner()
+        assert owner is not None
+        world.crash(owner)
+        await asyncio.sleep(1.0)
+        world.boot(owner)
+        await world.until_done("req-000001")
+        assert world.referee.starts == starts  # nothing had to be started again
+        world.verdict()
+
+    play(story)
+
+
+def test_an_owner_that_no_longer_hears_its_machines_hands_over_before_their_leases_end() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=8, RunS=40.0))
+        await world.until(lambda: len(world.on("req-000001")) == 8)
+        first = world.owner()
+        assert first is not None
+        world.isolate(first, state=False)  # it still reaches the state service
+        await world.until(lambda: world.owner() not in (None, first), seconds=FakeWorker.LEASE)
+        await world.until_done("req-000001")
+        world.rejoin(first)
+        world.verdict()
+
+    play(story)
+
+
+def test_a_cut_off_owner_stops_by_itself_and_nothing_runs_twice() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=8, RunS=20.0))
+        await world.until(lambda: len(world.on("req-000001")) == 8)
+        first = world.owner()
+        assert first is not None
+        world.isolate(first)
+        await world.until(lambda: world.owner() not in (None, first))
+        await asyncio.sleep(5)
+        world.rejoin(first)
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
+
+
+def test_all_controllers_crash_at_once_and_every_accepted_job_still_runs() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        for number in range(1, 6):
+            await world.submit(world.job(number, Pieces=4, RunS=8.0))
+        await world.until(lambda: world.referee.starts >= 10)
+        for name in world.nodes:
+            world.crash(name)
+        await asyncio.sleep(2)
+        for name in world.nodes:
+            world.boot(name)
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 6)])
+        world.verdict()
+
+    play(story)
+
+
+def test_cancelled_means_gone_in_time_even_when_the_owner_can_not_hear_of_it() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=6, RunS=500.0))
+        await world.until(lambda: len(world.on("req-000001")) == 6)
+        owner = world.owner()
+        assert owner is not None
+        other = next(name for name in world.nodes if name != owner)
+        world.net.cut(world.host(owner), world.state.HOST)
+        assert await world.cancel("req-000001", other) == "withdrawn"
+        await asyncio.sleep(World.CANCEL + 0.1)
+        assert world.on("req-000001") == []
+        assert await world.poll("req-000001", other) == "withdrawn"
+        world.verdict()
+
+    play(story)
+
+
+def test_a_state_outage_stops_no_task_that_its_right_can_carry_over_it() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=6, RunS=30.0))
+        await world.until(lambda: len(world.on("req-000001")) == 6)
+        starts = world.referee.starts
+        world.state.down = True
+        await asyncio.sleep(8)
+        status, _ = await world.ask("node-0", "GET", "/api/jobs/req-000001")
+        assert status == 503  # unsure
+        world.state.outage_over()
+        await world.until_done("req-000001")
+        assert world.referee.starts == starts
+        world.verdict()
+
+    play(story)
+
+
+def test_a_team_never_uses_more_than_its_limit() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, limits={"red": 5})
+        await world.start()
+        for number in range(1, 5):
+            await world.submit(world.job(number, Pieces=5, Cores=2.0))
+        assert await world.submit(world.job(9, Cores=6.0)) == 422
+        assert await world.submit(world.job(8, Shape="group", Pieces=3, Cores=2.0)) == 422
+        await world.until(lambda: world.referee.starts >= 3)
+        owner = world.owner()
+        assert owner is not None
+        world.crash(owner)
+        world.boot(owner)
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 5)])
+        world.verdict()
+
+    play(story)
+
+
+def test_places_are_kept() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=9, Apart=True))
+        await world.submit(world.job(2, Pieces=6, OneZone=True, Shape="group", Cores=2.0))
+        await world.submit(world.job(3, Pieces=4, Grades=["large"], Yard="b", Loaners=False))
+        await world.submit(world.job(4, Pieces=4, OneZone=True, Cores=3.0))
+        await world.submit(world.job(5, Pieces=2, Gpus=1.0))
+        assert await world.submit(world.job(6, Gpus=3.0)) == 422
+        assert await world.submit(world.job(7, Crew="nobody")) == 422
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 6)], seconds=150)
+        world.verdict()
+
+    play(story)
+
+
+def test_bad_input_is_refused_and_changes_nothing() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        await asyncio.sleep(1)
+
+        async def status(method: str, path: str, body: object = None) -> int:
+            return (await world.ask("node-1", method, path, body))[0]
+
+        good = world.job(1)
+        assert await status("POST", "/api/jobs", b"{") == 400
+        assert await status("POST", "/api/jobs", b"[]") == 400
+        for field, value in (
+            ("Ref", "job-1"), ("Ref", "req-000001\n"), ("Pieces", 0), ("Pieces", 100_001),
+            ("Cores", -1.0), ("Cores", "1"), ("GuessS", None), ("Shape", "ring"),
+            ("Rank", "top"), ("OneZone", 1), ("Grades", [1]), ("Mould", 7),
+        ):  # fmt: skip
+            assert await status("POST", "/api/jobs", good | {field: value}) == 400, field
+        assert await status("POST", "/api/jobs", b'{"Cores": 1e999}') == 400
+        assert await status("POST", "/api/jobs", {k: good[k] for k in good if k != "Crew"}) == 400
+        assert await status("POST", "/api/jobs", b"x" * 70_000) == 413
+        assert await status("GET", "/api/jobs/req-000777") == 404
+        assert await status("GET", "/api/jobs/nonsense") == 404
+        assert await status("POST", "/api/jobs/req-000777/cancel") == 404
+        assert await status("GET", "/nowhere") == 404
+        assert await status("GET", "/api/jobs") == 405
+        assert await status("POST", "/healthz") == 405
+        assert await status("POST", "/agent/beat", b"{}") == 400
+        assert await status("GET", "/" + "x" * 20_000) == 431
+        assert await status("GET", "/healthz") == 200
+        nulls = {k: v for k, v in good.items() if v is not None} | {"Extra": 1}
+        world.jobs["req-000001"] = good
+        assert await status("POST", "/api/jobs", nulls) == 201
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,222 @@
+"""A world in memory: a fake clock, a fake network, and an event loop that runs on both.
+
+Controllers run in it unchanged. Time passes only when nobody has anything left to do, so a
+day takes as long as its code takes, and the same seed gives the same day.
+"""
+
+import asyncio
+import contextvars
+import random
+import selectors
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from basaltlead import clock
+
+HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="10.9.9.9")
+
+
+class _Selector(selectors.BaseSelector):
+    """Instead of waiting, lets the clock jump."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("everybody waits for ever")
+        self.now += max(0.0, timeout)
+        return []
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        raise NotImplementedError
+
+    def unregister(self, fileobj: Any) -> Any:
+        raise NotImplementedError
+
+    def get_map(self) -> Any:
+        return {}
+
+
+class Transport(asyncio.Transport):
+    """One end of a connection in memory."""
+
+    def __init__(self, net: "Network", here: str, there: str) -> None:
+        super().__init__()
+        self.net = net
+        self.here = here
+        self.there = there
+        self.other: Transport | None = None
+        self.protocol: asyncio.Protocol | None = None
+        self.closed = False
+
+    def write(self, data: Any) -> None:
+        if not self.closed and self.other is not None:
+            self.net.carry(self, bytes(data))
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def close(self) -> None:
+        self.abort()
+
+    def abort(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.protocol is not None:
+            self.net.loop.call_soon(self.protocol.connection_lost, None)
+        if self.other is not None:
+            self.net.carry(self, None)
+
+
+class Network:
+    """Listeners by address; links between hosts that can be cut."""
+
+    def __init__(self, loop: "Loop", chance: random.Random) -> None:
+        self.loop = loop
+        self.chance = chance
+        self.listeners: dict[tuple[str, int], Callable[[], asyncio.Protocol]] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.held: dict[frozenset[str], list[tuple[Transport, bytes | None]]] = {}
+        self.order: dict[int, float] = {}
+        self.ends: dict[str, set[Transport]] = {}
+
+    def cut(self, a: str, b: str) -> None:
+        self.cuts.add(frozenset((a, b)))
+
+    def heal(self, a: str, b: str, deliver: bool = True) -> None:
+        """Ends a cut. What was sent meanwhile arrives late, or is reset."""
+        link = frozenset((a, b))
+        self.cuts.discard(link)
+        for end, data in self.held.pop(link, []):
+            if deliver:
+                self._later(end, data)
+            elif end.other is not None and not end.other.closed:
+                end.other.abort()
+
+    def carry(self, end: Transport, data: bytes | None) -> None:
+        link = frozenset((end.here, end.there))
+        if link in self.cuts:
+            self.held.setdefault(link, []).append((end, data))
+        else:
+            self._later(end, data)
+
+    def _later(self, end: Transport, data: bytes | None) -> None:
+        at = max(
+            self.loop.time() + self.chance.uniform(0.0003, 0.003), self.order.get(id(end), 0.0)
+        )
+        self.order[id(end)] = at + 1e-7
+        self.loop.call_at(at, self._arrive, end, data)
+
+    @staticmethod
+    def _arrive(end: Transport, data: bytes | None) -> None:
+        other = end.other
+        if other is None or other.closed or other.protocol is None:
+            return
+        if data is None:
+            other.closed = True
+            other.protocol.connection_lost(None)
+        else:
+            other.protocol.data_received(data)
+
+    async def connect(
+        self, factory: Callable[[], asyncio.Protocol], host: str, port: int
+    ) -> tuple[Transport, asyncio.Protocol]:
+        here = HOST.get()
+        await asyncio.sleep(self.chance.uniform(0.0003, 0.003))
+        if frozenset((here, host)) in self.cuts:
+            await asyncio.sleep(3600)
+        make = self.listeners.get((host, port))
+        if make is None:
+            raise ConnectionRefusedError(f"{host}:{port}")
+        near, far = Transport(self, here, host), Transport(self, host, here)
+        near.other, far.other = far, near
+        far.protocol = make()
+        near.protocol = factory()
+        far.protocol.connection_made(far)
+        near.protocol.connection_made(near)
+        for end in (near, far):
+            self.ends.setdefault(end.here, set()).add(end)
+        return near, near.protocol
+
+    def power_off(self, host: str) -> None:
+        """The host stops: its listeners are gone, its connections are reset."""
+        for address in [address for address in self.listeners if address[0] == host]:
+            del self.listeners[address]
+        for end in self.ends.pop(host, set()):
+            if not end.closed:
+                end.closed = True
+                end.protocol = None
+                self.carry(end, None)
+
+
+class _Listener:
+    def __init__(self, net: Network, address: tuple[str, int]) -> None:
+        self.net = net
+        self.address = address
+
+    def close(self) -> None:
+        self.net.listeners.pop(self.address, None)
+
+
+class Loop(asyncio.base_events.BaseEventLoop):
+    """An event loop without sockets."""
+
+    def __init__(self, seed: int = 1) -> None:
+        super().__init__()
+        self._selector = _Selector()
+        self.net = Network(self, random.Random(seed))
+
+    def time(self) -> float:
+        return self._selector.now
+
+    def _process_events(self, event_list: Any) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **_: Any):  # type: ignore[override,no-untyped-def]
+        return await self.net.connect(factory, host, port)
+
+    async def create_server(self, factory: Any, host: Any = None, port: Any = None, **_: Any):  # type: ignore[override,no-untyped-def]
+        context = contextvars.copy_context()
+
+        def make() -> asyncio.Protocol:
+            protocol: asyncio.Protocol = context.run(factory)
+            return protocol
+
+        self.net.listeners[(host, port)] = make
+        return _Listener(self.net, (host, port))
+
+
+def play(story: Callable[[Loop], Coroutine[Any, Any, None]], seed: int = 1) -> None:
+    """Run a story to its end on a fresh loop and clock."""
+    loop = Loop(seed)
+    failures: list[str] = []
+    loop.set_exception_handler(lambda _, context: failures.append(str(context)))
+    asyncio.set_event_loop(loop)
+    clock.use(lambda: int(loop.time() * 1e9), lambda: int((loop.time() + 1.7e9) * 1e9))
+    try:
+        loop.run_until_complete(story(loop))
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0.01))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+    assert not failures, failures
+
+
+def on_host(host: str, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+    """A task on one of the hosts: its connections come from there."""
+    context = contextvars.copy_context()
+    context.run(HOST.set, host)
+    return asyncio.get_running_loop().create_task(work, context=context)
+
+
+__all__ = ["HOST", "Loop", "Network", "on_host", "play"]
