--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -27,7 +27,6 @@
 from basaltlead.wire.state import Drop, Guard, Put, Row
 
 TROUBLE = (Failed, Unavailable, Conflict, NoHold)
-WATCH_MS = 4000
 
 
 class Membership:
@@ -40,6 +39,9 @@
         self.name = name
         self.state = state
         self.ttl_us = right_us
+        # An owner acts no longer than a right after its last look at the open jobs was asked
+        # for, so a watch must come back well within that.
+        self.watch_ms = min(4000, right_us // 4000)
         self.block_count = blocks
         self.life = ""
         self.hold = 0
@@ -135,7 +137,7 @@
                 if since is None:
                     rows, since = await self.state.rows(PREFIX)
                     self._load(rows)
-                changes = await self.state.changes(PREFIX, since, WATCH_MS)
+                changes = await self.state.changes(PREFIX, since, self.watch_ms)
                 for change in changes.log:
                     if change.put is not None:
                         self._put(change.put, change.value, change.stamp)
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -40,7 +40,6 @@
 from basaltlead.wire.workers import Command, Order, Orders, Report
 
 TROUBLE = (Failed, Unavailable, Conflict, NoHold)
-WATCH_MS = 4000
 FLUSH_US = 2 * US  # results of unfinished jobs wait this long: their workers still keep them
 
 
@@ -203,7 +202,7 @@
         while True:
             asked = now_us()
             try:
-                changes = await self.state.changes(OPEN, since, WATCH_MS)
+                changes = await self.state.changes(OPEN, since, self.member.watch_ms)
                 for change in changes.log:
                     self._change(change)
                 since = max(since, changes.revision)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -495,7 +495,7 @@
 class World:
     """Three controllers and everything around them."""
 
-    CANCEL = 20.0
+    CANCEL = 20.0  # s: `cancel_s`
 
     def __init__(
         self, loop: Loop, seed: int = 1, nodes: int = 3, limits: dict[str, float] | None = None,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -204,3 +204,21 @@
         world.verdict()
 
     play(story)
+
+
+def test_short_leases_leave_short_rights_and_the_service_still_acts() -> None:
+    """A watch that lasted longer than the right it renews once left an owner mute."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.CANCEL = 11.0
+        await world.start()
+        await world.submit(world.job(1, Pieces=4))
+        await asyncio.sleep(8)
+        for _ in range(20):
+            assert world.owner() is not None
+            await asyncio.sleep(0.3)
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
