--- a/basaltlead/wire/users.py
+++ b/basaltlead/wire/users.py
@@ -21,7 +21,7 @@
     ref: Annotated[str, Meta(pattern=REF)]
     lane: Text
     team: Text
-    shape: Literal["batch", "group"]
+    shape: Literal["batch", "group", "service"]
     rank: Literal["production", "high", "standard", "best_effort"]
     tasks: Annotated[int, Meta(ge=1, le=100_000)]
     cpus: Amount
