Orders that can't wait go straight to the workers

An unanswered start binds its task to the machine: it is repeated with the next report's answer and its attempt is not forgotten in that session.

--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -247,9 +247,12 @@
         machine.answered_at = now
         return self.orders(machine, now)
 
-    def answer(self, report: Message, now: int, executed: bool) -> None:
-        """The answer to a direct order."""
+    def answer(self, report: Message, now: int, flown: Iterable[Attempt] = ()) -> None:
+        """The answer to direct orders. `flown` are the starts that it proves to be executed."""
         machine = self.machines.get(report.machine)
+        if machine is not None and report.session == machine.session:
+            for attempt in flown:
+                attempt.sent_tick = max(attempt.sent_tick, report.tick)
         if machine is None or report.session < machine.min_session:
             return
         if report.session > machine.session:
@@ -432,6 +435,36 @@
             out.append(self._wish("run", attempt, None))
         return out[:MAX_ORDERS]
 
+    def direct(self, machine: Machine, now: int) -> tuple[list[Wish], list[Attempt]]:
+        """Orders worth sending at once, and the starts among them. A start that is on its way
+        directly is in no report's answer, and bound to its machine until it is settled."""
+        if not machine.synced or machine.deleting or machine.lost or not machine.address:
+            return [], []
+        out: list[Wish] = []
+        for attempt in machine.attempts.values():
+            if attempt.grace is None or attempt.told == attempt.grace or attempt.stage in (
+                "planned", "sent",
+            ):  # fmt: skip
+                continue
+            attempt.told = attempt.grace
+            out.append(self._wish("halt", attempt, attempt.grace))
+        flown = [a for a in self.startable(machine, now) if a.stage == "planned"]
+        for attempt in flown:
+            attempt.stage = "sent"
+            attempt.flying = True
+            out.append(self._wish("run", attempt, None))
+        return out, flown
+
+    def landed(self, flown: Iterable[Attempt], executed: bool | None) -> None:
+        """Direct starts were executed, were not, or (None) nobody knows."""
+        for attempt in flown:
+            attempt.flying = False
+            if executed is None:
+                attempt.loose = True  # sent again with the next report's answer
+            elif not executed and attempt.stage == "sent":
+                attempt.stage = "planned"
+                self.dirty = True
+
     def startable(self, machine: Machine, now: int) -> list[Attempt]:
         """Wishes that may go out now: there is room beside all that may be on the machine."""
         waiting = [
@@ -448,7 +481,7 @@
             elif room.fits(attempt.work.job) and not machine.has_rest(attempt.key):
                 room.take(attempt.work.job)
                 out.append(attempt)
-        return out[:MAX_ORDERS]
+        return out
 
     @staticmethod
     def _wish(verb: str, attempt: Attempt, grace_s: float | None) -> Wish:
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -107,7 +107,7 @@
 
     __slots__ = (
         "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick", "since", "stage",
-        "token", "work",
+        "token", "told", "work",
     )  # fmt: skip
 
     def __init__(self, work: "Work", index: int, machine: "Machine", token: int, now: int) -> None:
@@ -117,7 +117,10 @@
         self.token = token
         self.stage = "planned"  # planned, sent, then what the worker reports
         self.grace: float | None = None  # not None: it is to stop
-        self.sent_tick = 0  # the report whose answer carried the order last
+        self.told: float | None = None  # the grace it was told directly
+        # Reports up to this one say nothing about it: the answer to this one carried the order,
+        # or this one is the worker's answer to a direct order.
+        self.sent_tick = 0
         self.flying = False  # a direct order is unanswered so far
         self.loose = False  # a direct order was never answered: a copy may still arrive
         self.since = now
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -13,7 +13,7 @@
 from basaltlead.core.block import Block, Limits, Timing, Wish
 from basaltlead.core.leadership import Grant, block_key
 from basaltlead.core.market import Market, TeamRecord
-from basaltlead.core.model import US, Kind, Machine, Work
+from basaltlead.core.model import US, Attempt, Kind, Machine, Work
 from basaltlead.logs import log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Response
@@ -79,6 +79,7 @@
         self.flushed_at: dict[str, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
+        self.pushing: set[str] = set()  # machines with direct orders under way
         self.heard_at = 0  # the last report of any machine
         self.lanes: dict[str, tuple[Work, list[int]]] = {}  # the last job of a class, arrivals
         self.on_loaded: Callable[[], None] = lambda: None
@@ -320,7 +321,7 @@
                 return
             session = report.session
             if executed and self.acts:
-                self.block.answer(report, now_us(), executed)
+                self.block.answer(report, now_us())
                 self.wake.set()
                 return
 
@@ -405,8 +406,39 @@
             self.block.tick(now)
             if self.acts:
                 self.block.plan(now)
+                self._push_all(now)
             await asyncio.sleep(0.02)
 
+    def _push_all(self, now: int) -> None:
+        """Send what can't wait for the next report straight to the workers."""
+        for machine in self.block.machines.values():
+            if machine.name in self.pushing or not machine.attempts:
+                continue
+            wishes, flown = self.block.direct(machine, now)
+            if wishes:
+                self.pushing.add(machine.name)
+                self.spawn(self._push(machine, wishes, flown), f"push {machine.name}")
+
+    async def _push(self, machine: Machine, wishes: list[Wish], flown: list[Attempt]) -> None:
+        executed: bool | None = None
+        try:
+            orders = [order_of(wish) for wish in wishes]
+            command = Command(self.grant.baton, machine.session, orders)
+            executed, report = await self.workers.command(machine.address, command)
+            if self.resigned or report.machine != machine.name:
+                executed = None
+            else:
+                self.block.answer(report, now_us(), flown if executed else ())
+        except Failed as fault:
+            log.debug("orders for %s: %s", machine.name, fault)
+            executed = None if fault.sent else False
+        finally:
+            self.pushing.discard(machine.name)
+            self.block.landed(flown, executed)
+            if executed is not True:
+                await asyncio.sleep(0.5)
+            self.wake.set()
+
     async def _rounds(self) -> None:
         while True:
             now = now_us()
