--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -144,6 +144,12 @@
         if work.live.pop(attempt.index, None) is None:
             return
         machine.attempts.pop(attempt.key, None)
+        if attempt.ran_at:
+            spent = machine.share(work.job) * (now - attempt.ran_at) / US
+            if work.is_done(attempt.index) or work.job.mark_every_us:
+                machine.useful += spent
+            else:
+                machine.wasted += spent
         if not machine.attempts:
             machine.idle_since = now
         used = self.team_used[work.job.team]
@@ -186,6 +192,14 @@
         """It is deleted: everything on it is gone."""
         machine = self.machines.pop(name, None)
         self.gone[name] = None
+        if machine is not None:
+            age = max(1, now - machine.made_at) / US
+            up = (now - machine.up_at) / US if machine.up_at else 0.0
+            self.log(
+                f"machine {name} ({machine.kind.name}{', spot' if machine.spot else ''}) returned: "
+                f"{age:.0f} s old, {up:.0f} s up, {machine.useful:.0f} s of use, "
+                f"{machine.wasted:.0f} s wasted"
+            )
         while len(self.gone) > 1000:
             del self.gone[next(iter(self.gone))]
         if machine is not None:
@@ -304,6 +318,7 @@
         if not machine.synced:
             machine.synced = True
             machine.up = True
+            machine.up_at = machine.up_at or now
             self.risky.discard(machine.name)
             self.dirty = True
 
@@ -618,6 +633,8 @@
                 return
             open_zones = placement.zones_open(work, zones)
             machine = placement.choose(work, suited, rooms, open_zones)
+            if machine is not None and not machine.wanted and len(work.live) >= (work.need or 0):
+                return  # it can wait for room that stays
             stops: list[Attempt] = []
             if machine is None:
                 found = self._make_room(work, suited, open_zones, now)
--- /dev/null
+++ b/basaltlead/core/demand.py
@@ -0,0 +1,54 @@
+"""How many tasks of each open job should run now so that all are done in time.
+
+Jobs are looked at in the order in which they are due. For every due time, the work due by then
+over the time left is the rate the fleet must have; the greatest of these is what is wanted, and
+it is given to the jobs in the same order. Work that can wait for room already rented so waits.
+"""
+
+from collections.abc import Callable, Iterable
+
+from basaltlead.core.model import US, Work
+
+MARGIN = 0.75  # of the time left: guesses are often wrong by half
+
+
+def counts(
+    works: Iterable[Work],
+    now: int,
+    due_us: Callable[[Work], int | None],
+    guess_us: Callable[[Work], int],
+    lead_us: int,
+) -> dict[str, int]:
+    """Wanted tasks by job, those that run already included."""
+    out: dict[str, int] = {}
+    dated: list[tuple[int, Work]] = []
+    for work in works:
+        due = due_us(work)
+        if work.job.gang or due is None:
+            out[work.job.ref] = work.remaining
+        else:
+            dated.append((due, work))
+    dated.sort(key=lambda pair: (pair[0], pair[1].asked_at))
+    total = 0.0
+    rate = 0.0
+    for due, work in dated:
+        each = guess_us(work)
+        total += _load(work, each, now)
+        left = int((due - now) * MARGIN) - (0 if work.live else lead_us)
+        rate = max(rate, total / max(left, each, US))
+    for _, work in dated:
+        size = max(work.job.cpus, 0.1)
+        live = sum(1 for a in work.live.values() if a.grace is None)
+        count = min(work.remaining, max(live, int(rate / size + 0.999)))
+        out[work.job.ref] = count
+        rate = max(0.0, rate - count * size)
+    return out
+
+
+def _load(work: Work, each: int, now: int) -> float:
+    """What is left of a job, in CPU microseconds."""
+    left = work.waiting * each
+    for attempt in work.live.values():
+        ran = now - attempt.ran_at if attempt.ran_at else 0
+        left += max(each - ran, each // 4)
+    return left * max(work.job.cpus, 0.1)
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -6,6 +6,8 @@
 
 from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Room, Work, allowed
 
+STAY_US = 90 * US  # how long a machine is reckoned to be of use: boots are paid for too
+
 
 class Offer(Struct, frozen=True):
     """Something the cloud may have: a type in a zone, ordinary or spot."""
@@ -20,7 +22,6 @@
 
     work: Work
     count: int
-    ready_us: int  # how soon they must run; a slower boot is of no use to them
 
 
 class Spare(Struct):
@@ -83,6 +84,7 @@
     """Price of a slot for an hour, spot dearer by what a sudden end would repeat."""
     slots = max(1, kind.holds(job))
     price = unit_price(kind, spot) / slots
+    price *= (kind.boot_us + STAY_US) / STAY_US
     if spot and not job.mark_every_us:
         price *= 1 + min(0.5, run_us / (3600 * US) * 4)
     return price
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -107,23 +107,6 @@
                 self.budgets[work.job.team].pay(work.bid)
         block.dirty = True
 
-    def wanted(self, work: Work, block: Block, now: int, lead_us: int) -> int:
-        """How many tasks should run now for the job to be done in time.
-
-        A margin covers what goes wrong; a job without a promise takes all it can.
-        """
-        remaining = work.remaining
-        if work.job.gang:
-            return remaining
-        due = self.due_us(work)
-        if due is None:
-            return remaining
-        each = block.guess_us(work.job)
-        left = int((due - now) * 0.75) - lead_us
-        if left <= each:
-            return remaining
-        return min(remaining, max(1, -(-remaining // max(1, left // each))))
-
 
 def targets_of(objectives: list[tuple[str, str, int]]) -> dict[str, int]:
     """The tightest finish promised to each class."""
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -172,10 +172,14 @@
         self.recall_at: int | None = None
         self.idle_since = now
         self.avoid_until = 0
+        self.up_at = 0
+        self.useful = 0.0  # share-seconds of tasks that completed here, and of those that did not
+        self.wasted = 0.0
         self.faults: set[str] = set()  # jobs that failed here since the last success
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.rest: dict[tuple[str, int, int], Rest] = {}
         self.images: dict[str, float] = {}
+        self.wanted = True  # the fleet needs it: one it does not need is left to empty
         self.booked = 0.0  # sum of the bids of its tasks
 
     def usable(self, now: int) -> bool:
@@ -192,6 +196,15 @@
                 room.take(attempt.work.job)
         return room
 
+    def share(self, job: Job) -> float:
+        """The part of the machine that a task takes."""
+        kind = self.kind
+        return max(
+            job.cpus / kind.cpus if kind.cpus else 0.0,
+            job.memory_gb / kind.memory_gb if kind.memory_gb else 0.0,
+            job.gpus / kind.gpus if kind.gpus else 0.0,
+        )
+
     def has_rest(self, key: tuple[str, int]) -> bool:
         return any(rest[:2] == key for rest in self.rest)
 
@@ -223,7 +236,8 @@
         self.failures = 0
         self.failed_on: set[str] = set()
         self.bid = 0.0
-        self.slots: int | None = None
+        self.slots: int | None = None  # what the auction gave it; None before its first round
+        self.need: int | None = None  # what must run now for it to be done in time
         self.finished_recent = 0
         self.rate = 0.0
 
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -17,10 +17,14 @@
     return {zone for zone in zones if held[zone] < job.zone_cap}
 
 
-def tier(job: Job, machine: Machine) -> tuple[int, int]:
-    """Lower is better. A machine that has the image starts the task at once; one that already
-    has work stays rented anyway, so filling it lets others empty and be returned."""
-    return (0 if job.image in machine.images else 1, 0 if machine.attempts else 1)
+def tier(job: Job, machine: Machine) -> tuple[int, int, int]:
+    """Lower is better. A machine the fleet does not need is left to empty; one that has the
+    image starts the task at once; one that has work stays rented anyway."""
+    return (
+        0 if machine.wanted else 1,
+        0 if job.image in machine.images else 1,
+        0 if machine.attempts else 1,
+    )
 
 
 def choose(
@@ -29,7 +33,7 @@
     """The machine for one task: least booked bids within the best tier (the paper's worst fit)."""
     job = work.job
     best: Machine | None = None
-    best_key: tuple[tuple[int, int], float, str] | None = None
+    best_key: tuple[tuple[int, int, int], float, str] | None = None
     for machine in machines:
         if (
             machine.zone not in zones
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -6,7 +6,7 @@
 from basaltlead.clients.cloud import Cloud, NoCapacity
 from basaltlead.clients.state import Conflict, NoHold
 from basaltlead.clock import now_us, wall_us
-from basaltlead.core import fleet
+from basaltlead.core import demand, fleet
 from basaltlead.core.fleet import Need, Offer, Shop, Spare
 from basaltlead.core.market import Market
 from basaltlead.core.model import US, Kind, Machine
@@ -55,14 +55,22 @@
 
     def needs(self, now: int) -> list[Need]:
         block = self.owner.block
+        works = [
+            w
+            for w in block.works.values()
+            if not w.closed and not w.complete and now >= w.hold_until
+        ]
+        wanted = demand.counts(
+            works,
+            now,
+            self.market.due_us,
+            lambda work: block.guess_us(work.job),
+            self._lead_us(0.0),
+        )
         out = []
-        for work in sorted(block.works.values(), key=lambda w: (-w.job.rank, w.asked_at)):
-            if work.closed or work.complete or now < work.hold_until:
-                continue
-            lead = self._lead_us(work.job.image_gb) if not work.live else 0
-            wanted = self.market.wanted(work, block, now, lead)
-            live = sum(1 for a in work.live.values() if a.grace is None)
-            out.append(Need(work, max(wanted, live), lead))
+        for work in sorted(works, key=lambda w: (-w.job.rank, w.asked_at)):
+            work.need = wanted[work.job.ref]
+            out.append(Need(work, work.need))
         return out
 
     def _lead_us(self, image_gb: float) -> int:
@@ -126,6 +134,8 @@
                 grouped[offer] = grouped.get(offer, 0) + 1
             for offer, count in list(grouped.items())[: max(0, room)]:
                 self._start_hire(offer, count)
+            for machine in block.machines.values():
+                machine.wanted = machine.name in plan.needed
             self._give_back(plan.needed, now)
 
     def _give_back(self, needed: set[str], now: int) -> None:
