Remember how many machines the cloud had; cheap room first; spares end with arrivals

Cause: refused hires used up the cloud's rate (0.4 s each) and delayed those that succeed; a spare machine stayed for 250 s after the last job.

--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -35,6 +35,8 @@
         each = guess_us(work)
         total += _load(work, each, now)
         left = int((due - now) * MARGIN) - (0 if work.live else lead_us)
+        if left < each * 3 // 4:  # late already: in two waves, whatever that may cost less
+            left = 2 * each
         rate = max(rate, total / max(left, each, US))
     for _, work in dated:
         size = max(work.job.cpus, 0.1)
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -53,31 +53,40 @@
 
 
 class Shop:
-    """What the cloud last said of each offer: refusals make it wait before asking again."""
+    """What the cloud last said of each offer.
 
-    def __init__(self) -> None:
-        self.closed_until: dict[Offer, int] = {}
-        self.refusals: dict[Offer, int] = {}
+    A refusal shows how many there are to be had: those we hold. There is no use in asking for
+    more until some time has passed or we hold fewer.
+    """
+
+    MEMORY_US = 60 * US
 
-    def refused(self, offer: Offer, now: int) -> None:
-        count = self.refusals[offer] = min(4, self.refusals.get(offer, 0) + 1)
-        self.closed_until[offer] = now + (4 << count) * US
+    def __init__(self) -> None:
+        self.most: dict[Offer, tuple[int, int]] = {}  # how many, known until
 
-    def served(self, offer: Offer) -> None:
-        self.refusals.pop(offer, None)
-        self.closed_until.pop(offer, None)
+    def refused(self, offer: Offer, held: int, now: int) -> None:
+        self.most[offer] = (held, now + self.MEMORY_US)
 
-    def open(self, offer: Offer, now: int) -> bool:
-        return now >= self.closed_until.get(offer, 0)
+    def left(self, offer: Offer, held: int, now: int) -> int | None:
+        """How many more may be had; None: unknown."""
+        known = self.most.get(offer)
+        if known is None or now >= known[1]:
+            return None
+        return max(0, known[0] - held)
 
-    def offers(self, kinds: Iterable[Kind], now: int) -> list[Offer]:
-        out = []
+    def offers(
+        self, kinds: Iterable[Kind], held: dict[Offer, int], now: int
+    ) -> dict[Offer, int | None]:
+        """What may be asked for, and how many of it."""
+        out: dict[Offer, int | None] = {}
         for kind in kinds:
             for zone in kind.zones:
-                if kind.spot_price is not None:
-                    out.append(Offer(kind.name, zone, True))
-                out.append(Offer(kind.name, zone, False))
-        return [offer for offer in out if self.open(offer, now)]
+                for spot in (True, False) if kind.spot_price is not None else (False,):
+                    offer = Offer(kind.name, zone, spot)
+                    left = self.left(offer, held.get(offer, 0), now)
+                    if left is None or left > 0:
+                        out[offer] = left
+        return out
 
 
 def risk_price(job: Job, kind: Kind, spot: bool, run_us: int) -> float:
@@ -95,7 +104,7 @@
     spares: Sequence[Spare],
     machines: Iterable[Machine],
     kinds: dict[str, Kind],
-    offers: Sequence[Offer],
+    offers: dict[Offer, int | None],
     run_us: dict[str, int],
     most_hires: int,
 ) -> Plan:
@@ -109,12 +118,16 @@
         for m in machines
         if not (m.draining or m.deleting or m.lost or m.recall_at is not None)
     ]
-    # Filled machines first, then dear ones last: what is left over at the end can go back.
-    bins.sort(key=lambda b: (-len(b.machine.attempts) if b.machine else 0, b.offer.spot is False))
+    # Cheap room first, then machines that have work: what is left over at the end can go back.
+    bins.sort(
+        key=lambda b: (
+            unit_price(b.kind, b.offer.spot) / max(b.kind.cpus, 0.1),
+            -len(b.machine.attempts) if b.machine else 0,
+        )
+    )
     by_name = {b.machine.name: b for b in bins if b.machine is not None}
     hires: list[Offer] = []
     hired: dict[Offer, int] = {}
-    shut: set[Offer] = set()
 
     def fit(job: Job, zones: set[str] | None) -> Bin | None:
         for one in bins:
@@ -131,10 +144,10 @@
             return None
         best: tuple[float, int, str, str] | None = None
         chosen: Offer | None = None
-        for offer in offers:
+        for offer, most in offers.items():
             kind = kinds[offer.kind]
             if (
-                offer in shut
+                (most is not None and hired.get(offer, 0) >= most)
                 or not allowed(job, offer.kind, offer.zone, offer.spot)
                 or (zones is not None and offer.zone not in zones)
                 or not kind.holds(job)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -94,9 +94,9 @@
             boot = min(k.boot_us for k in suited)
             if boot + int(job.image_gb * US) <= within:
                 continue
-            window = 150 * US
+            window = 120 * US
             recent = sum(1 for at in arrivals if now - at < window)
-            if not recent and (not arrivals or now - arrivals[-1] > 2 * window):
+            if not recent:
                 continue
             expected = recent * boot / window
             out.append(Spare(job, max(1, round(expected))))
@@ -127,7 +127,7 @@
             room = MOST_HIRING - len(self.pending)
             plan = fleet.size(
                 needs, self.spares(now), self.expected(now), self.owner.kinds,
-                self.shop.offers(self.owner.kinds.values(), now), run_us, 12,
+                self.shop.offers(self.owner.kinds.values(), self._held(), now), run_us, 12,
             )  # fmt: skip
             grouped: dict[Offer, int] = {}
             for offer in plan.hires:
@@ -168,6 +168,14 @@
         lost = [m for m in machines if m.lost]
         return heard >= 1 or all(now - m.heard_at > 4 * recent for m in lost)
 
+    def _held(self) -> dict[Offer, int]:
+        """Machines we hold, by what they were offered as."""
+        out: dict[Offer, int] = {}
+        for machine in self.owner.block.machines.values():
+            offer = Offer(machine.kind.name, machine.zone, machine.spot)
+            out[offer] = out.get(offer, 0) + 1
+        return out
+
     # Hiring
 
     def _start_hire(self, offer: Offer, count: int) -> None:
@@ -201,7 +209,7 @@
                     names = await self.cloud.hire(request)
                     break
                 except NoCapacity:
-                    self.shop.refused(offer, now_us())
+                    self.shop.refused(offer, self._held().get(offer, 0), now_us())
                     log.info("no capacity: %s in %s%s", stored.kind, stored.zone,
                              " (spot)" if stored.spot else "")  # fmt: skip
                     await self._settle(name, None)
@@ -210,12 +218,10 @@
                     log.info("hire %s: %s", name, fault)
                     await backoff.rest()
             log.info("hired %s: %s", name, ", ".join(names))
-            if len(names) < stored.number:
-                self.shop.refused(offer, now_us())
-            else:
-                self.shop.served(offer)
             stored.names = names
             self._expect(stored, names)
+            if len(names) < stored.number:
+                self.shop.refused(offer, self._held().get(offer, 0), now_us())
             await self._settle(name, stored)
         except TROUBLE as fault:
             log.info("hire %s not recorded: %s", name, fault)
