--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterable
 
-from basaltlead.core.model import US, Work
+from basaltlead.core.model import US, Job, Machine, Work, allowed
 
 MARGIN = 0.75  # of the time left: guesses are often wrong by half
 
@@ -33,7 +33,7 @@
     rate = 0.0
     for due, work in dated:
         each = guess_us(work)
-        total += _load(work, each, now)
+        total += load(work, each, now)
         left = int((due - now) * MARGIN) - (0 if work.live else lead_us)
         if left < each * 3 // 4:  # late already: in two waves, whatever that may cost less
             left = 2 * each
@@ -47,10 +47,27 @@
     return out
 
 
-def _load(work: Work, each: int, now: int) -> float:
+def load(work: Work, each: int, now: int) -> float:
     """What is left of a job, in CPU microseconds."""
     left = work.waiting * each
     for attempt in work.live.values():
         ran = now - attempt.ran_at if attempt.ran_at else 0
         left += max(each - ran, each // 4)
     return left * max(work.job.cpus, 0.1)
+
+
+def drain_us(
+    job: Job, works: Iterable[Work], machines: Iterable[Machine], now: int,
+    guess_us: Callable[[Work], int],
+) -> float:  # fmt: skip
+    """How long the machines that a job may use, booting ones included, need for all open arrays.
+
+    A machine that boots for longer than this comes up when there is nothing left for it.
+    """
+    backlog = sum(load(work, guess_us(work), now) for work in works if not work.job.gang)
+    room = 0.0
+    for machine in machines:
+        if allowed(job, machine.kind.name, machine.zone, machine.spot):
+            taken = sum(a.work.job.cpus for a in machine.attempts.values() if a.work.job.gang)
+            room += machine.kind.cpus - taken
+    return backlog / room if room > 0 else float("inf")
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -22,6 +22,7 @@
 
     work: Work
     count: int
+    drain_us: float = float("inf")  # by when what is rented will have done all open work
 
 
 class Spare(Struct):
@@ -139,7 +140,7 @@
                 return one
         return None
 
-    def rent(job: Job, zones: set[str] | None, count: int) -> Bin | None:
+    def rent(job: Job, zones: set[str] | None, count: int, within_us: float) -> Bin | None:
         if len(hires) >= most_hires:
             return None
         best: tuple[float, int, str, str] | None = None
@@ -151,6 +152,7 @@
                 or not allowed(job, offer.kind, offer.zone, offer.spot)
                 or (zones is not None and offer.zone not in zones)
                 or not kind.holds(job)
+                or kind.boot_us > within_us
             ):
                 continue
             slots = min(kind.holds(job), max(1, count))
@@ -176,10 +178,10 @@
         one.used += 1
         return True
 
-    def place(job: Job, count: int, zones: set[str] | None) -> int:
+    def place(job: Job, count: int, zones: set[str] | None, within_us: float = float("inf")) -> int:
         placed = 0
         while placed < count:
-            one = fit(job, zones) or rent(job, zones, count - placed)
+            one = fit(job, zones) or rent(job, zones, count - placed, within_us)
             if one is None:
                 break
             while placed < count and one.room.fits(job):
@@ -204,7 +206,7 @@
                 # One zone must hold them all: try each, keep the one that needs fewest hires.
                 tried = sorted({b.zone for b in bins} | {o.zone for o in offers})
                 zones = _best_zone(job, moved[job.ref], tried, bins, offers, kinds)
-            place(job, moved[job.ref], zones)
+            place(job, moved[job.ref], zones, need.drain_us)
         for spare in spares:
             if spare.job.rank == rank:
                 place(spare.job, spare.count, None)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -67,10 +67,16 @@
             lambda work: block.guess_us(work.job),
             self._lead_us(0.0),
         )
+        machines = self.expected(now)
         out = []
         for work in sorted(works, key=lambda w: (-w.job.rank, w.asked_at)):
             work.need = wanted[work.job.ref]
-            out.append(Need(work, work.need))
+            need = Need(work, work.need)
+            if not work.job.gang:
+                need.drain_us = demand.drain_us(
+                    work.job, works, machines, now, lambda w: block.guess_us(w.job)
+                )
+            out.append(need)
         return out
 
     def _lead_us(self, image_gb: float) -> int:
