Short rights, and promises among controllers that carry an owner over an outage

Rights now last half a lease. While the state service is away for all, every peer promises for a span not to replace the owner; one that has just started waits out the longest such span. Bounded by cancel_s as before. Machine types are kept in the state service, and an owner waits for them.

--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -216,7 +216,7 @@
 
 def _best_zone(
     job: Job, count: int, zones: Sequence[str], bins: Sequence[Bin],
-    offers: Sequence[Offer], kinds: dict[str, Kind],
+    offers: Iterable[Offer], kinds: dict[str, Kind],
 ) -> set[str] | None:  # fmt: skip
     """The zone where most of the tasks fit on what is rented already; else one that offers."""
     best: tuple[int, str] | None = None
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -46,7 +46,11 @@
         self.life = ""
         self.hold = 0
         self.stamp = 0
-        self.right_until = 0
+        self.touched_until = 0  # how long our hold provably lasts
+        self.vouched_until = 0  # how long all peers have promised not to replace us
+        self.contact_at = 0  # the last good answer of the state service
+        self.started_at = now_us()
+        self.promises: dict[tuple[str, str], int] = {}  # to owners, until when
         self.cluster = Cluster()
         self.changed: Callable[[], None] = lambda: None
         self.wake = asyncio.Event()
@@ -57,7 +61,41 @@
 
     @property
     def acts(self) -> bool:
-        return self.stamp > 0 and now_us() < self.right_until
+        return self.stamp > 0 and now_us() < max(self.touched_until, self.vouched_until)
+
+    @property
+    def lonely(self) -> bool:
+        """Has the state service been silent for a while?"""
+        return now_us() - self.contact_at > self.ttl_us // 3
+
+    @property
+    def owns_any(self) -> bool:
+        return any(self.owned(block) is not None for block in self.cluster.blocks)
+
+    def promise(self, name: str, life: str, span_us: int) -> int:
+        """Promise an owner not to put anybody in its place; 0 when we will not.
+
+        With the state service in sight there is no reason to: if the owner has lost it alone,
+        somebody else should serve its machines.
+        """
+        if not self.lonely or span_us <= 0:
+            return 0
+        span = min(span_us, self.ttl_us)
+        now = now_us()
+        self.promises = {key: until for key, until in self.promises.items() if until > now}
+        self.promises[(name, life)] = now + span
+        return span
+
+    def may_replace(self, held: Grant) -> bool:
+        """Are all promises to this owner over, those that an earlier life of ours may have
+        made included? One that was replaced by its own next life has no use for any."""
+        member = self.cluster.members.get(held.name)
+        if held.name == self.name or (member is not None and member[0].life != held.life):
+            return True
+        now = now_us()
+        return now >= self.promises.get((held.name, held.life), 0) and (
+            not held.name or now >= self.started_at + self.ttl_us * 101 // 100
+        )
 
     def guard(self) -> Guard:
         """What every write of this process is guarded on."""
@@ -94,7 +132,8 @@
                     backoff.reset()
                 sent = now_us()
                 await self.state.touch(self.hold, min(1_500_000, self.ttl_us // 4))
-                self.right_until = leadership.right_end(sent, self.ttl_us)
+                self.touched_until = leadership.right_end(sent, self.ttl_us)
+                self.contact_at = now_us()
                 backoff.reset()
                 await asyncio.sleep(self.ttl_us / 6e6)
             except NoHold:
@@ -106,7 +145,7 @@
 
     def leave(self) -> None:
         self.stamp = 0
-        self.right_until = 0
+        self.touched_until = self.vouched_until = 0
         self.life = ""
         self.changed()
 
@@ -122,7 +161,8 @@
             [Put(member_key(self.name), Claim(self.name, life), hold)],
         )
         self.hold, self.life, self.stamp = hold, life, stamp
-        self.right_until = leadership.right_end(sent, self.ttl_us)
+        self.touched_until = leadership.right_end(sent, self.ttl_us)
+        self.contact_at = now_us()
         self.cluster.members[self.name] = (Claim(self.name, life), stamp)
         log.info("joined as %s/%s", self.name, life)
         self.wake.set()
@@ -144,6 +184,7 @@
                     elif change.drop is not None:
                         self._drop(change.drop, change.stamp)
                 since = max(since, changes.revision)
+                self.contact_at = now_us()
                 backoff.reset()
                 if changes.log:
                     self._looked()
@@ -215,7 +256,9 @@
                     await self._claim()
                 elif self.leads:
                     for block in self.cluster.orphans(self.block_count):
-                        await self._grant(block)
+                        held = self.cluster.blocks.get(block)
+                        if held is None or self.may_replace(held[0]):
+                            await self._grant(block)
             except Conflict as conflict:
                 log.debug("claim lost on %s", conflict)
                 await asyncio.sleep(self.chance.uniform(0.02, 0.1))
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -16,12 +16,15 @@
 from basaltlead.core.model import US, Kind
 from basaltlead.frontdesk import FrontDesk, refusal
 from basaltlead.logs import Brake, log
-from basaltlead.membership import Membership
+from basaltlead.membership import TROUBLE, Membership
 from basaltlead.net.http import Failed, Request, Response, Server
 from basaltlead.owner import Owner, limits_of
-from basaltlead.records import kind_of
+from basaltlead.peers import Peers
+from basaltlead.records import TYPES, kind_of
 from basaltlead.renting import Renting
 from basaltlead.settings import Settings
+from basaltlead.wire.cloud import MachineType, Types
+from basaltlead.wire.state import Put
 from basaltlead.wire.workers import Elsewhere, Report
 
 BLOCKS = 1
@@ -40,10 +43,12 @@
         self.cloud = Cloud(settings.services.cloud, facts.cloud.rps)
         self.member = Membership(settings.member, self.state, settings.right_us, BLOCKS)
         self.member.changed = self._changed
+        self.peers = Peers(self.member, settings.internal_addr, settings.known)
         self.desk = FrontDesk(self.state, self.member, limits_of(settings), facts.state.txn_ops)
         self.desk.closed = self._closed
         self.kinds: dict[str, Kind] = self.desk.kinds
         self.owner: Owner | None = None
+        self.kept_types: set[str] = set()
         self.shop = Shop()
         self.brake = Brake()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -52,10 +57,12 @@
         limit = max(50, self.settings.facts.quota.fd_limit - RESERVED_SOCKETS)
         server = Server(self.handle, limit)
         await server.start(self.settings.front)
+        await self.peers.serve()
         log.info("%s listens on %s", self.settings.member, self.settings.front)
         for name, work in (
             ("keep", self.member.keep), ("watch", self.member.watch),
             ("lead", self.member.lead), ("types", self._types), ("mind", self._mind),
+            ("ask", self.peers.ask),
         ):  # fmt: skip
             self._spawn(work, name)
         await asyncio.Event().wait()
@@ -151,11 +158,35 @@
                 for kind in map(kind_of, types):
                     self.kinds[kind.name] = kind
                 backoff.reset()
+                await self._keep_types(types)
                 await asyncio.sleep(30 if self.owner is not None else 180)
             except (Failed, Unavailable, NoCapacity) as fault:
                 log.info("machine types: %s", fault)
+                await self._stored_types()
                 await backoff.rest()
 
+    async def _keep_types(self, types: list[MachineType]) -> None:
+        """Whoever starts while the cloud is in trouble finds the types in the state service."""
+        known = {kind_of(one).name for one in types}
+        if self.owner is None or known == self.kept_types:
+            return
+        try:
+            await self.state.multi([self.member.guard()], [Put(TYPES, Types(types))])
+            self.kept_types = known
+        except TROUBLE as fault:
+            log.debug("storing types: %s", fault)
+
+    async def _stored_types(self) -> None:
+        if self.kinds:
+            return
+        try:
+            row = await self.state.get(TYPES)
+        except (Failed, Unavailable):
+            return
+        if row is not None:
+            for kind in map(kind_of, msgspec.json.decode(row.value, type=Types).types):
+                self.kinds.setdefault(kind.name, kind)
+
     # Requests
 
     def handle(self, request: Request) -> "Response | Coroutine[Any, Any, Response]":
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -93,7 +93,7 @@
             self.member.acts
             and not self.resigned
             and self.member.life == self.grant.life
-            and now_us() < self.watched_at + self.member.ttl_us
+            and now_us() < self.watched_at + self.settings.ride_us
         )
 
     def guards(self) -> list[Guard]:
@@ -127,6 +127,8 @@
 
     async def _run(self) -> None:
         backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        while not self.kinds:  # without them no machine's room is known
+            await asyncio.sleep(0.05)
         while True:
             try:
                 revision = await self._load()
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -20,6 +20,7 @@
 HIRE = "hire/"
 MACHINE = "mach/"
 TEAM = "team/"
+TYPES = "types"
 
 STRETCH = 24_576  # tasks whose results share one key: 4 KiB of text
 
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -111,17 +111,24 @@
     operator: Operator = Operator()
 
     @property
-    def right_us(self) -> int:
-        """How long a hold lasts.
+    def ride_us(self) -> int:
+        """How long an owner may act without a look at the cancellations.
 
         A cancellation may be told just after the owner lost its way to the state service; the
-        owner then acts for a whole right, and its workers for a lease after that. Both and a
-        margin must fit into `cancel_s`.
+        owner then acts for this long at most, and its workers for a lease after that. Both and
+        a margin must fit into `cancel_s`.
         """
         w = self.facts.workers
-        room = (w.cancel_s - w.lease_s * 1.01) * 0.8 - 1.0
-        wished = self.operator.right_s if self.operator.right_s is not None else room
-        return int(min(wished, room) * US)
+        return int(((w.cancel_s - w.lease_s * 1.01) * 0.9 - 1.0) * US)
+
+    @property
+    def right_us(self) -> int:
+        """How long a hold lasts. Half a lease: when an owner is cut off, its workers give it up
+        after 4 to 6 s, and find the next owner in place before their leases run out."""
+        wished = self.operator.right_s
+        if wished is None:
+            wished = self.facts.workers.lease_s / 2
+        return min(int(wished * US), self.ride_us)
 
 
 def _convert(data: Any, kind: Any, where: str) -> Any:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -354,6 +354,9 @@
             return
         self.tasks[key] = {"Stage": "fetching", "at": self.loop.time() + 0.5}
 
+    def finish(self, key: tuple[str, int]) -> None:
+        self._end(key, "done")
+
     def _end(self, key: tuple[str, int], why: str) -> None:
         if self.tasks[key]["Stage"] != "fetching":
             self.world.referee.left(key[0], self)
@@ -387,8 +390,11 @@
                     entry["at"] = now + job["RunS"]
                     self.change.set()
                 if entry["Stage"] == "running" and now >= entry["at"]:
-                    self.world.referee.completed(task)
-                    self._end(key, "error" if job.get("Broken") else "done")
+                    if job["Shape"] == "group":
+                        self.world.end_gang(task, key[1])
+                    else:
+                        self.world.referee.completed(task)
+                        self._end(key, "error" if job.get("Broken") else "done")
 
     async def handle(self, request: Request) -> Response:
         while self.hung:
@@ -608,6 +614,16 @@
                     ready += entry["Stage"] in ("gathering", "running")
         return ready == pieces
 
+    def end_gang(self, task: str, token: int) -> None:
+        """A gang's tasks complete together."""
+        ref = task.partition("/")[0]
+        for worker in list(self.cloud.machines.values()):
+            for key, entry in list(worker.tasks.items()):
+                mine = key[0].partition("/")[0] == ref and key[1] == token
+                if mine and entry["Stage"] == "running":
+                    self.referee.completed(key[0])
+                    worker.finish(key)
+
     # Users
 
     def job(self, number: int, **fields: Any) -> dict[str, Any]:
@@ -683,5 +699,5 @@
 
     def verdict(self) -> None:
         self.referee.check()
-        assert self.referee.broken == []
+        assert not self.referee.broken, "; ".join(self.referee.broken)
         assert self.referee.starts > 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -203,10 +203,11 @@
     clock.use(lambda: int(loop.time() * 1e9), lambda: int((loop.time() + 1.7e9) * 1e9))
     try:
         loop.run_until_complete(story(loop))
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0.01))
     finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
         asyncio.set_event_loop(None)
         loop.close()
     assert not failures, failures
