--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -78,7 +78,6 @@
         works = [w for w in block.works.values() if not w.closed]
         for budget in self.budgets.values():
             budget.refill(span)
-        bids: list[Bid[str]] = []
         for work in works:
             if work.bid <= 0:
                 work.bid = self.first_bid(work, now)
@@ -95,16 +94,31 @@
                 work.bid, value, wanted, trend,
                 self.terms.reserve, self._most(work, now), self.terms.threshold,
             )  # fmt: skip
-            bids.append(Bid(work.job.ref, work.bid, max(work.job.cpus, 0.1), work.remaining))
         open_refs = {work.job.ref for work in works}
         self.trends = {ref: trend for ref, trend in self.trends.items() if ref in open_refs}
+        for work in works:
+            if work.job.team in self.budgets and work.live:
+                self.budgets[work.job.team].pay(work.bid)
+        self.share(block)
+
+    def share(self, block: Block) -> None:
+        """The auction over the present capacity. Deadline jobs want what keeps them in time,
+        others slots for all their tasks. Run between rounds too: new work must not wait."""
+        works = [w for w in block.works.values() if not w.closed and not w.job.gang]
+        bids = [
+            Bid(
+                w.job.ref,
+                max(w.bid, self.terms.reserve),
+                max(w.job.cpus, 0.1),
+                w.remaining if w.need is None else min(w.need, w.remaining),
+            )
+            for w in works
+        ]
         capacity = sum(m.kind.cpus for m in block.machines.values() if m.up and not m.lost)
         slots = clear(bids, capacity)
         self.price = price(bids, capacity)
         for work in works:
-            work.slots = None if work.job.gang else slots[work.job.ref]
-            if work.job.team in self.budgets and work.live:
-                self.budgets[work.job.team].pay(work.bid)
+            work.slots = slots[work.job.ref]
         block.dirty = True
 
 
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -142,6 +142,8 @@
                 self._start_hire(offer, count)
             for machine in block.machines.values():
                 machine.wanted = machine.name in plan.needed
+            self.market.share(block)
+            self.owner.wake.set()
             self._give_back(plan.needed, now)
 
     def _give_back(self, needed: set[str], now: int) -> None:
