--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -343,7 +343,13 @@
             attempt.machine.keep_image(attempt.work.job.image, attempt.work.job.image_gb)
         if seen.stage == "running" and not attempt.ran_at:
             attempt.ran_at = now
-            attempt.work.started_at = attempt.work.started_at or now
+            work = attempt.work
+            if not work.started_at:
+                work.started_at = now
+                self.log(
+                    f"job {work.job.ref} ({work.job.lane}, {work.job.tasks} tasks) runs after "
+                    f"{(now - work.asked_at) / US:.1f} s on {attempt.machine.name}"
+                )
         attempt.stage = seen.stage
 
     def _ended(self, attempt: Attempt, seen: Seen, now: int) -> None:
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -193,6 +193,7 @@
             seen.append(now - age)
             del seen[:-200]
             self.lanes[work.job.lane] = (work, seen)
+            log.info("job %s (%s, %d tasks) taken up", ref, work.job.lane, work.job.tasks)
             self.wake.set()
         elif not self.loaded and ref in self.block.works:
             load_progress(self.block.works[ref], stretch, msgspec.json.decode(raw, type=Progress))
@@ -390,7 +391,7 @@
                 return
             raise
         self.block.stored(work, indices)
-        log.info("job %s done", ref)
+        log.info("job %s done after %.1f s", ref, (now_us() - work.asked_at) / US)
         self.close(ref)
 
     # Time
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -96,7 +96,7 @@
     budget: Positive = 1000.0
     reserve_price: Positive = 0.01
     threshold: Annotated[float, Meta(ge=0, le=1)] = 0.05
-    idle_s: Annotated[float, Meta(ge=0, le=3600)] = 15.0
+    idle_s: Annotated[float, Meta(ge=0, le=3600)] = 8.0
     right_s: Annotated[float, Meta(ge=1, le=600)] | None = None
 
 
