--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -19,12 +19,19 @@
 
 def tier(job: Job, machine: Machine) -> tuple[int, int, int]:
     """Lower is better. A machine the fleet does not need is left to empty; one that has the
-    image starts the task at once; one that has work stays rented anyway."""
-    return (
-        0 if machine.wanted else 1,
-        0 if job.image in machine.images else 1,
-        0 if machine.attempts else 1,
-    )
+    image starts the task at once; one that has work stays rented anyway. A gang fills machines
+    and waits as a whole for the slowest fetch, so for it the image comes first."""
+    image = 0 if job.image in machine.images else 1
+    wanted = 0 if machine.wanted else 1
+    busy = 0 if machine.attempts else 1
+    return (image, wanted, busy) if job.gang else (wanted, image, busy)
+
+
+def fetch_cost(job: Job, machine: Machine) -> float:
+    """CPU seconds that a task would stand idle for its image."""
+    if job.image in machine.images:
+        return 0.0
+    return job.image_gb / max(machine.kind.pull_gb_per_s, 0.01) * max(job.cpus, 0.1)
 
 
 def choose(
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -98,7 +98,8 @@
             if not suited:
                 continue
             boot = min(k.boot_us for k in suited)
-            if boot + int(job.image_gb * US) <= within:
+            fetch = min(job.image_gb / max(k.pull_gb_per_s, 0.01) for k in suited)
+            if boot * 1.2 + fetch * US <= within:
                 continue
             window = 120 * US
             recent = sum(1 for at in arrivals if now - at < window)
@@ -112,11 +113,16 @@
         """Machines to reckon with: those that are up, and those that should be soon."""
         out = [m for batch in self.pending.values() for m in batch]
         for machine in self.owner.block.machines.values():
-            late = not machine.up and now - machine.made_at > self._patience(machine.kind)
-            if not late:
+            if not self._overdue(machine, now, self._patience(machine.kind)):
                 out.append(machine)
         return out
 
+    @staticmethod
+    def _overdue(machine: Machine, now: int, patience_us: int) -> bool:
+        """Should it have come up by now? One that stands recorded did, under an earlier owner,
+        even if it has not yet reported to us: returning those cost a new owner its machines."""
+        return not machine.up and not machine.recorded and now - machine.made_at > patience_us
+
     @staticmethod
     def _patience(kind: Kind) -> int:
         return int(kind.boot_us * 2.5) + 10 * US
@@ -151,7 +157,7 @@
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
-            overdue = not machine.up and now - machine.made_at > 2 * self._patience(machine.kind)
+            overdue = self._overdue(machine, now, 2 * self._patience(machine.kind))
             idle = (
                 machine.up and machine.synced and not machine.rest
                 and machine.name not in needed
