--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -753,7 +753,12 @@
             for attempt in stops[machine.name]:
                 room.take(attempt.work.job, -1)
             rooms[machine.name] = room
-        cheapest = sorted(suited, key=lambda m: sum(placement.loss(a, now) for a in stops[m.name]))
+        cheapest = sorted(
+            suited,
+            key=lambda m: (
+                sum(placement.loss(a, now) for a in stops[m.name]) + placement.fetch_cost(job, m)
+            ),
+        )
         # Offer as few machines as hold the gang, those with least to lose first.
         for count in range(1, len(cheapest) + 1):
             offered = cheapest[:count]
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -33,7 +33,7 @@
 
 
 class Bin:
-    __slots__ = ("kind", "machine", "offer", "room", "used", "zone")
+    __slots__ = ("added", "kind", "machine", "offer", "room", "used", "zone")
 
     def __init__(self, kind: Kind, zone: str, machine: Machine | None, offer: Offer) -> None:
         self.kind = kind
@@ -42,11 +42,13 @@
         self.offer = offer
         self.room = Room.of(kind)
         self.used = 0
+        self.added = 0  # of these, tasks that do not run here yet
 
 
 class Plan(Struct):
     hires: list[Offer]
     needed: set[str]  # names of machines with a use
+    filled: set[str]  # of these, those that should take more tasks; others are left to empty
 
 
 def unit_price(kind: Kind, spot: bool) -> float:
@@ -187,6 +189,7 @@
             while placed < count and one.room.fits(job):
                 one.room.take(job)
                 one.used += 1
+                one.added += 1
                 placed += 1
         return placed
 
@@ -211,7 +214,12 @@
             if spare.job.rank == rank:
                 place(spare.job, spare.count, None)
     needed = {b.machine.name for b in bins if b.machine is not None and b.used}
-    return Plan(hires, needed)
+    filled = {
+        b.machine.name
+        for b in bins
+        if b.machine is not None and (b.added or b.room.cpus < b.kind.cpus / 2)
+    }
+    return Plan(hires, needed, filled)
 
 
 def _best_zone(
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -101,7 +101,7 @@
             fetch = min(job.image_gb / max(k.pull_gb_per_s, 0.01) for k in suited)
             if boot * 1.2 + fetch * US <= within:
                 continue
-            window = 120 * US
+            window = 200 * US
             recent = sum(1 for at in arrivals if now - at < window)
             if not recent:
                 continue
@@ -147,13 +147,13 @@
             for offer, count in list(grouped.items())[: max(0, room)]:
                 self._start_hire(offer, count)
             for machine in block.machines.values():
-                machine.wanted = machine.name in plan.needed
+                machine.wanted = machine.name in plan.filled
             self.market.share(block)
             self.owner.wake.set()
             self._give_back(plan.needed, now)
 
     def _give_back(self, needed: set[str], now: int) -> None:
-        idle_us = int(self.settings.operator.idle_s * US)
+        share = self.settings.operator.idle_share
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
@@ -161,7 +161,7 @@
             idle = (
                 machine.up and machine.synced and not machine.rest
                 and machine.name not in needed
-                and now - machine.idle_since > idle_us
+                and now - machine.idle_since > share * self._rebuy_us(machine)
                 and now - machine.made_at > MINIMUM_US - 5 * US
             )  # fmt: skip
             faulty = machine.draining and not machine.rest
@@ -175,6 +175,13 @@
                     else "faulty" if faulty else "idle",
                 )  # fmt: skip
 
+    @staticmethod
+    def _rebuy_us(machine: Machine) -> float:
+        """For how long a machine may idle at the price of renting one anew: its boot, at the
+        ordinary price, since a spot machine that is returned may not be had again."""
+        kind = machine.kind
+        return kind.boot_us * kind.price / max(fleet.unit_price(kind, machine.spot), 1e-6)
+
     def _others_heard(self, now: int) -> bool:
         recent = self.owner.block.timing.lease_us
         machines = [m for m in self.owner.block.machines.values() if m.up]
