--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -147,7 +147,7 @@
             for offer, count in list(grouped.items())[: max(0, room)]:
                 self._start_hire(offer, count)
             for machine in block.machines.values():
-                machine.wanted = machine.name in plan.filled
+                machine.wanted = machine.name in plan.needed
             self.market.share(block)
             self.owner.wake.set()
             self._give_back(plan.needed, now)
