--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from basaltlead.core import gangs, placement
-from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Rest, Room, Work
+from basaltlead.core.model import US, Attempt, Job, Machine, Rest, Room, Work
 
 TOKEN_BITS = 24  # attempts an owner can start under one baton: 16 million
 
@@ -360,7 +360,7 @@
         if why == "done":
             machine.faults.clear()
             if attempt.ran_at and not work.closed and not (job.gang and work.done_count):
-                self._learn(job, now - attempt.ran_at)
+                self._learn(work, now - attempt.ran_at)
             self._result(work, attempt.index)
         self._remove(attempt, now)
         if why == "done" or work.closed:
@@ -397,7 +397,10 @@
             machine.draining = True
             self.log(f"machine {machine.name} is faulty: {sorted(machine.faults)} failed on it")
 
-    def _learn(self, job: Job, ran_us: int) -> None:
+    def _learn(self, work: Work, ran_us: int) -> None:
+        job = work.job
+        work.ran_us += ran_us
+        work.ran_count += 1
         if job.guess_us > 0:
             ratio = min(8.0, max(0.1, ran_us / job.guess_us))
             old = self.ratio.get(job.lane)
@@ -671,11 +674,12 @@
             if placement.allowed(job, m.kind.name, m.zone, m.spot)
             and m.name not in work.failed_on
         ]  # fmt: skip
-        chosen = gangs.place(work, suited, rooms)
+        if job.tasks == 1:
+            chosen = self._cheapest(work, suited, now)
+        else:
+            chosen = gangs.place(work, suited, rooms) or self._make_gang_room(work, suited, now)
         if chosen is None:
-            chosen = self._make_gang_room(work, suited, now)
-            if chosen is None:
-                return
+            return
         work.token = self._token()
         work.again.clear()
         work.fresh = job.tasks
@@ -738,6 +742,28 @@
                 best = (found[0], machine.name, machine, found[1])
         return None if best is None else (best[2], best[3])
 
+    def _cheapest(self, work: Work, suited: list[Machine], now: int) -> list[Machine] | None:
+        """For one task that fills a machine: where stopping others and fetching waste least."""
+        job = work.job
+        within = self.guaranteed(work)
+        best: tuple[float, tuple[int, int, int], float, str] | None = None
+        chosen: tuple[Machine, list[Attempt]] | None = None
+        for machine in suited:
+            found = placement.victims(
+                job, machine, now, lambda other: self._may_stop(job, within, other)
+            )
+            if found is None:
+                continue
+            cost = found[0] + placement.fetch_cost(job, machine)
+            key = (cost, placement.tier(job, machine), machine.booked, machine.name)
+            if best is None or key < best:
+                best, chosen = key, (machine, found[1])
+        if chosen is None:
+            return None
+        for attempt in chosen[1]:
+            self.stop_softly(attempt)
+        return [chosen[0]]
+
     def _make_gang_room(self, work: Work, suited: list[Machine], now: int) -> list[Machine] | None:
         """Room for a whole gang by stopping work of lower rank: only if all of it fits."""
         job = work.job
@@ -788,10 +814,9 @@
 
     # For the market and the fleet
 
-    def guess_us(self, job: Job) -> int:
-        """How long a task will run, by the owner's guess and what its class has shown."""
-        return max(US, int(job.guess_us * self.ratio.get(job.lane, 1.0)))
-
-
-def kind_map(kinds: Iterable[Kind]) -> dict[str, Kind]:
-    return {kind.name: kind for kind in kinds}
+    def guess_us(self, work: Work) -> int:
+        """How long a task of the job will run: as its first ones did; before that by the
+        owner's guess and what guesses of its class have been worth."""
+        if work.ran_count >= 3:
+            return max(US, work.ran_us // work.ran_count)
+        return max(US, int(work.job.guess_us * self.ratio.get(work.job.lane, 1.0)))
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -239,6 +239,8 @@
         self.slots: int | None = None  # what the auction gave it; None before its first round
         self.need: int | None = None  # what must run now for it to be done in time
         self.finished_recent = 0
+        self.ran_us = 0  # run time of its tasks that completed, and how many those were
+        self.ran_count = 0
         self.rate = 0.0
 
     def is_done(self, index: int) -> bool:
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -9,7 +9,7 @@
 from basaltlead.core import demand, fleet
 from basaltlead.core.fleet import Need, Offer, Shop, Spare
 from basaltlead.core.market import Market
-from basaltlead.core.model import US, Kind, Machine
+from basaltlead.core.model import US, Machine
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
 from basaltlead.owner import Owner, placeholder_kind
@@ -64,7 +64,7 @@
             works,
             now,
             self.market.due_us,
-            lambda work: block.guess_us(work.job),
+            block.guess_us,
             self._lead_us(0.0),
         )
         machines = self.expected(now)
@@ -73,9 +73,7 @@
             work.need = wanted[work.job.ref]
             need = Need(work, work.need)
             if not work.job.gang:
-                need.drain_us = demand.drain_us(
-                    work.job, works, machines, now, lambda w: block.guess_us(w.job)
-                )
+                need.drain_us = demand.drain_us(work.job, works, machines, now, block.guess_us)
             out.append(need)
         return out
 
@@ -112,20 +110,15 @@
     def expected(self, now: int) -> list[Machine]:
         """Machines to reckon with: those that are up, and those that should be soon."""
         out = [m for batch in self.pending.values() for m in batch]
-        for machine in self.owner.block.machines.values():
-            if not self._overdue(machine, now, self._patience(machine.kind)):
-                out.append(machine)
-        return out
+        machines = self.owner.block.machines.values()
+        return out + [m for m in machines if not self._overdue(m, now)]
 
     @staticmethod
-    def _overdue(machine: Machine, now: int, patience_us: int) -> bool:
+    def _overdue(machine: Machine, now: int) -> bool:
         """Should it have come up by now? One that stands recorded did, under an earlier owner,
         even if it has not yet reported to us: returning those cost a new owner its machines."""
-        return not machine.up and not machine.recorded and now - machine.made_at > patience_us
-
-    @staticmethod
-    def _patience(kind: Kind) -> int:
-        return int(kind.boot_us * 2.5) + 10 * US
+        patience = int(machine.kind.boot_us * 2.5) + 5 * US
+        return not machine.up and not machine.recorded and now - machine.made_at > patience
 
     async def _size(self) -> None:
         while True:
@@ -135,7 +128,7 @@
             now = now_us()
             block = self.owner.block
             needs = self.needs(now)
-            run_us = {n.work.job.ref: block.guess_us(n.work.job) for n in needs}
+            run_us = {n.work.job.ref: block.guess_us(n.work) for n in needs}
             room = MOST_HIRING - len(self.pending)
             plan = fleet.size(
                 needs, self.spares(now), self.expected(now), self.owner.kinds,
@@ -157,7 +150,7 @@
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
-            overdue = self._overdue(machine, now, 2 * self._patience(machine.kind))
+            overdue = self._overdue(machine, now)
             idle = (
                 machine.up and machine.synced and not machine.rest
                 and machine.name not in needed
