--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -12,8 +12,8 @@
     if not (job.one_zone or job.apart):
         return set(zones)
     held = Counter(attempt.machine.zone for attempt in work.live.values())
-    if job.one_zone and held:
-        return set(held) if len(held) == 1 else set()
+    if job.one_zone and held:  # a job may ask for both: then half of it at a time, in one zone
+        zones = set(held) if len(held) == 1 else set()
     return {zone for zone in zones if held[zone] < job.zone_cap}
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -354,8 +354,8 @@
             return
         self.tasks[key] = {"Stage": "fetching", "at": self.loop.time() + 0.5}
 
-    def finish(self, key: tuple[str, int]) -> None:
-        self._end(key, "done")
+    def finish(self, key: tuple[str, int], why: str) -> None:
+        self._end(key, why)
 
     def _end(self, key: tuple[str, int], why: str) -> None:
         if self.tasks[key]["Stage"] != "fetching":
@@ -367,8 +367,6 @@
         """Tasks go on, and the lease runs out, unless the machine hangs."""
         while True:
             await asyncio.sleep(0.1)
-            if self.hung:
-                continue
             now = self.loop.time()
             if now - self.lease_from > self.LEASE:
                 self._kill_all()
@@ -377,6 +375,9 @@
                 self.lease_from = now
                 self.change.set()
             for key, entry in list(self.tasks.items()):
+                if self.hung:
+                    entry["at"] = entry.get("at", now) + 0.1
+                    continue
                 task = key[0]
                 job = self.world.jobs[task.partition("/")[0]]
                 if entry["Stage"] == "fetching" and now >= entry["at"]:
@@ -615,14 +616,22 @@
         return ready == pieces
 
     def end_gang(self, task: str, token: int) -> None:
-        """A gang's tasks complete together."""
+        """A gang's tasks complete together, or notice that one of them is missing."""
         ref = task.partition("/")[0]
-        for worker in list(self.cloud.machines.values()):
-            for key, entry in list(worker.tasks.items()):
-                mine = key[0].partition("/")[0] == ref and key[1] == token
-                if mine and entry["Stage"] == "running":
-                    self.referee.completed(key[0])
-                    worker.finish(key)
+        found = [
+            (worker, key)
+            for worker in list(self.cloud.machines.values())
+            for key, entry in list(worker.tasks.items())
+            if key[0].partition("/")[0] == ref
+            and key[1] == token
+            and entry["Stage"] in ("gathering", "running")
+        ]
+        whole = len(found) == self.jobs[ref]["Pieces"] and not any(w.hung for w, _ in found)
+        for worker, key in found:
+            if whole:
+                self.referee.completed(key[0])
+            if not worker.hung:
+                worker.finish(key, "done" if whole else "peers")
 
     # Users
 
--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,126 @@
+"""Seeded days on which everything fails, alone and overlapping; no rule may break."""
+
+import asyncio
+import random
+
+import pytest
+
+from tests.fakes import World
+from tests.world import Loop, play
+
+
+async def _users(world: World, chance: random.Random, jobs: int) -> None:
+    """Submits, repeats, cancels and polls, at any node."""
+    for number in range(1, jobs + 1):
+        shape = chance.choice(["batch", "batch", "group"])
+        job = world.job(
+            number,
+            Crew=chance.choice(["red", "blue"]),
+            Shape=shape,
+            Pieces=chance.choice([1, 3, 8]) if shape == "batch" else chance.choice([1, 3]),
+            Cores=chance.choice([1.0, 2.0]),
+            Rank=chance.choice(["best_effort", "standard", "high"]),
+            RunS=chance.choice([1.0, 4.0, 12.0]),
+            OneZone=chance.random() < 0.2,
+            Apart=shape == "batch" and chance.random() < 0.2,
+            Loaners=chance.random() < 0.7,
+        )
+        await world.submit(job)
+        if chance.random() < 0.25:
+            await asyncio.sleep(chance.uniform(0, 6))
+            await world.cancel(job["Ref"])
+        for _ in range(2):
+            ref = f"req-{chance.randint(1, number):06d}"
+            await world.poll(ref)
+        await world.poll(f"req-{chance.randint(500, 600):06d}")
+        await asyncio.sleep(chance.uniform(0, 4))
+
+
+async def _trouble(world: World, chance: random.Random) -> None:
+    """One trouble after the other, often before the last one is over."""
+    pending: list[asyncio.Task[None]] = []
+
+    async def cut(name: str, state: bool, seconds: float) -> None:
+        world.isolate(name, state=state, cloud=chance.random() < 0.5)
+        await asyncio.sleep(seconds)
+        world.rejoin(name, deliver=chance.random() < 0.7)
+
+    async def crash(name: str, seconds: float) -> None:
+        if name in world.running:
+            world.crash(name)
+            await asyncio.sleep(seconds)
+            if name not in world.running:
+                world.boot(name)
+
+    async def outage(seconds: float) -> None:
+        world.state.down = True
+        await asyncio.sleep(seconds)
+        world.state.outage_over()
+
+    async def refused(name: str, seconds: float) -> None:
+        world.net.cut(world.host(name), world.state.HOST)
+        await asyncio.sleep(seconds)
+        world.net.heal(world.host(name), world.state.HOST, deliver=chance.random() < 0.5)
+
+    async def hang(seconds: float) -> None:
+        machines = [m for m in world.cloud.machines.values() if m.up]
+        if machines:
+            machine = chance.choice(machines)
+            machine.hung = True
+            await asyncio.sleep(seconds)
+            machine.hung = False
+
+    async def die() -> None:
+        if world.cloud.machines:
+            name = chance.choice(list(world.cloud.machines))
+            world.cloud.machines.pop(name).stop()
+
+    while True:
+        await asyncio.sleep(chance.uniform(1, 8))
+        name = chance.choice(world.nodes)
+        seconds = chance.choice([0.3, 2.0, 7.0, 15.0])
+        kind = chance.randrange(8)
+        if kind == 0:
+            work = cut(name, True, seconds)
+        elif kind == 1:
+            work = cut(name, False, seconds)
+        elif kind in (2, 3):
+            work = crash(name, min(seconds, 3.0))
+        elif kind == 4:
+            work = outage(seconds)
+        elif kind == 5:
+            work = refused(name, seconds)
+        elif kind == 6:
+            work = hang(seconds)
+        else:
+            work = die()
+        pending.append(asyncio.get_running_loop().create_task(work))
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_no_rule_breaks_on_a_day_of_random_failures(seed: int) -> None:
+    async def story(loop: Loop) -> None:
+        chance = random.Random(seed)
+        world = World(loop, seed, limits={"blue": 6} if seed % 2 else None)
+        await world.start()
+        trouble = loop.create_task(_trouble(world, chance))
+        users = loop.create_task(_users(world, chance, 25))
+        while not users.done():
+            world.referee.check()
+            await asyncio.sleep(0.5)
+        await users
+        trouble.cancel()
+        # Everything heals; every job that was accepted and not cancelled must come to its end.
+        world.state.outage_over()
+        for name in world.nodes:
+            world.rejoin(name)
+            world.net.heal(world.host(name), world.state.HOST)
+            if name not in world.running:
+                world.boot(name)
+        for machine in world.cloud.machines.values():
+            machine.hung = False
+        left = [ref for ref in world.jobs if ref not in world.referee.cancelled_at]
+        await world.until_done(*left, seconds=400)
+        world.verdict()
+
+    play(story, seed)
