--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -387,7 +387,7 @@
     def _failed(self, machine: Machine, work: Work, now: int) -> None:
         """Mostly the machine is faulty; a job that fails on several is itself at fault."""
         work.failures += 1
-        work.failed_on.add(machine.name)
+        work.failed_on[machine.name] = now + 30 * US
         if len(work.failed_on) >= 3 and not work.done_count:
             work.hold_until = now + min(60, 1 << min(work.failures, 6)) * US
             return
@@ -635,7 +635,7 @@
         suited = [
             m for m in usable
             if placement.allowed(work.job, m.kind.name, m.zone, m.spot)
-            and m.name not in work.failed_on
+            and work.failed_on.get(m.name, 0) <= now
         ]  # fmt: skip
         for _ in range(min(limit, 2000)):
             if not self.within_limit(work.job):
@@ -672,7 +672,7 @@
         suited = [
             m for m in usable
             if placement.allowed(job, m.kind.name, m.zone, m.spot)
-            and m.name not in work.failed_on
+            and work.failed_on.get(m.name, 0) <= now
         ]  # fmt: skip
         if job.tasks == 1:
             chosen = self._cheapest(work, suited, now)
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -234,7 +234,7 @@
         self.closed = False  # cancelled or over: nothing may start
         self.hold_until = 0
         self.failures = 0
-        self.failed_on: set[str] = set()
+        self.failed_on: dict[str, int] = {}  # machines to keep it off, until when
         self.bid = 0.0
         self.slots: int | None = None  # what the auction gave it; None before its first round
         self.need: int | None = None  # what must run now for it to be done in time
--- /dev/null
+++ b/tests/test_block.py
@@ -0,0 +1,322 @@
+"""The owner of a block against single messages: order, lateness, doubt. Each is a guard."""
+
+from basaltlead.core.block import Block, Limits, Timing
+from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Work
+from basaltlead.wire.workers import Listed, Report
+
+KIND = Kind("k", 4.0, 0.0, 16.0, 1.0, 0.5, 5 * US, 50.0, 1.0, ("a", "b"))
+TIMING = Timing(10 * US, US, 4 * US, 40 * US)
+
+
+def a_job(number: int = 1, **fields: object) -> Job:
+    values: dict[str, object] = {
+        "ref": f"req-{number:06d}", "lane": "lane", "team": "red", "gang": False, "rank": 1,
+        "tasks": 1, "cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0, "image": "img",
+        "image_gb": 1.0, "types": None, "zone": None, "one_zone": False, "apart": False,
+        "spot": True, "guess_us": 10 * US, "mark_every_us": 0, "mark_s": 0.0, "due_us": None,
+    }  # fmt: skip
+    return Job(**(values | fields))  # type: ignore[arg-type]
+
+
+class Story:
+    """A block with baton 7, granted at revision 100, and one synced machine, m-0."""
+
+    def __init__(self, machines: int = 1, limits: dict[str, Limits] | None = None) -> None:
+        self.now = 1000 * US
+        self.block = Block(7, 100, self.now, TIMING, limits or {"red": Limits()})
+        self.ticks: dict[str, int] = {}
+        for number in range(machines):
+            self.add(f"m-{number}")
+            self.beat(f"m-{number}")
+
+    def add(self, name: str, zone: str = "a", loaded: bool = False) -> Machine:
+        machine = Machine(name, KIND, zone, False, self.now)
+        if loaded:
+            self.block.load_machine(machine)
+        else:
+            machine.recorded = True
+            self.block.add_machine(machine)
+        return machine
+
+    def report(
+        self, name: str, *tasks: Listed, baton: int = 7, session: int = 1, tick: int | None = None
+    ) -> Report:
+        if tick is None:
+            tick = self.ticks[name] = self.ticks.get(name, 0) + 1
+        return Report(name, "10.1.0.1:9", "k", "a", False, session, tick, baton, list(tasks))
+
+    def beat(self, name: str, *tasks: Listed, **fields: int) -> list[tuple[str, str]] | None:
+        """The orders, as (verb, task)."""
+        wishes = self.block.beat(self.report(name, *tasks, **fields), self.now)
+        return None if wishes is None else [(w.verb, f"{w.ref}/{w.index}") for w in wishes]
+
+    def submit(self, number: int = 1, stamp: int = 200, **fields: object) -> Work:
+        work = self.block.add_job(a_job(number, **fields), stamp, self.now)
+        self.block.plan(self.now)
+        return work
+
+    def attempt(self, work: Work, index: int = 0) -> Attempt:
+        return work.live[index]
+
+
+def listed(attempt: Attempt, stage: str, why: str | None = None) -> Listed:
+    return Listed(f"{attempt.work.job.ref}/{attempt.index}", attempt.token, stage, why)
+
+
+def test_a_task_goes_from_order_to_result_and_is_forgotten_only_once_stored() -> None:
+    story = Story()
+    work = story.submit()
+    attempt = story.attempt(work)
+    assert story.beat("m-0") == [("run", "req-000001/0")]
+    assert story.beat("m-0", listed(attempt, "running")) == []
+    assert story.beat("m-0", listed(attempt, "ended", "done")) == []  # not stored yet
+    assert work.complete
+    story.block.stored(work, [0])
+    assert story.beat("m-0", listed(attempt, "ended", "done")) == [("forget", "req-000001/0")]
+
+
+def test_a_lost_answer_is_repeated_under_the_same_attempt() -> None:
+    story = Story()
+    work = story.submit()
+    token = story.attempt(work).token
+    assert story.beat("m-0") == [("run", "req-000001/0")]
+    assert story.beat("m-0") == [("run", "req-000001/0")]
+    assert story.attempt(work).token == token
+
+
+def test_a_late_copy_of_an_old_report_proves_nothing() -> None:
+    story = Story()
+    work = story.submit()
+    attempt = story.attempt(work)
+    old = story.report("m-0")
+    story.beat("m-0")
+    story.beat("m-0", listed(attempt, "running"))
+    story.submit(2)
+    assert story.block.beat(old, story.now) == []  # nobody waits for this answer any more
+    assert work.live[0] is attempt and attempt.stage == "running"
+
+
+def test_reports_of_a_session_that_was_given_up_are_not_believed() -> None:
+    story = Story(machines=2)
+    work = story.submit()
+    attempt = story.attempt(work)
+    name = attempt.machine.name
+    story.beat(name)
+    held = story.report(name, listed(attempt, "running"))
+    story.now += TIMING.lapse_us + 1
+    story.block.tick(story.now)
+    assert attempt.machine.lost and not work.live
+    assert story.block.beat(held, story.now) is None  # it comes minutes later
+    assert attempt.machine.lost and not attempt.machine.usable(story.now)
+
+
+def test_a_silent_machine_keeps_its_tasks_until_its_lease_is_surely_over() -> None:
+    story = Story(machines=2)
+    work = story.submit()
+    attempt = story.attempt(work)
+    story.beat(attempt.machine.name)
+    story.now += TIMING.lease_us
+    story.block.tick(story.now)
+    assert work.live[0] is attempt
+    story.now += TIMING.lapse_us - TIMING.lease_us + 1
+    story.block.tick(story.now)
+    assert not work.live
+
+
+def test_a_new_session_means_that_everything_there_was_killed() -> None:
+    story = Story()
+    work = story.submit()
+    attempt = story.attempt(work)
+    story.beat("m-0")
+    story.beat("m-0", listed(attempt, "running"))
+    story.beat("m-0", session=2, tick=1)
+    assert not work.live and work.waiting == 1
+
+
+def test_a_report_without_our_baton_is_no_picture_of_the_machine() -> None:
+    story = Story(machines=0)
+    story.add("m-9", loaded=True)
+    work = story.submit(stamp=50)  # accepted before the block was ours
+    assert story.beat("m-9", baton=6) == []  # may still get orders of the old owner
+    story.add("m-8")
+    story.beat("m-8")
+    story.block.plan(story.now)
+    assert not work.live  # it might run on m-9
+    story.beat("m-9", Listed("req-000001/0", 12345, "running"))
+    assert work.live[0].machine.name == "m-9" and work.live[0].token == 12345
+
+
+def test_jobs_accepted_after_the_grant_do_not_wait_for_silent_machines() -> None:
+    story = Story(machines=1)
+    story.add("m-9", loaded=True)
+    old, new = story.submit(1, stamp=50), story.submit(2, stamp=150)
+    assert not old.live and new.live
+    story.now += TIMING.lapse_us + 1
+    story.beat("m-0")
+    story.block.tick(story.now)  # m-9 has been silent past its lease
+    story.block.plan(story.now)
+    assert old.live
+
+
+def test_an_unanswered_direct_start_binds_its_task_until_it_is_settled() -> None:
+    story = Story()
+    work = story.submit()
+    machine = story.block.machines["m-0"]
+    wishes, flown = story.block.direct(machine, story.now)
+    assert [w.verb for w in wishes] == ["run"]
+    assert story.beat("m-0") == []  # on its way: not sent twice
+    assert work.live, "a report that does not list it proves nothing"
+    story.block.landed(flown, None)
+    assert story.beat("m-0") == [("run", "req-000001/0")]
+    assert story.beat("m-0") == [("run", "req-000001/0")] and work.live
+    attempt = story.attempt(work)
+    assert story.beat("m-0", listed(attempt, "ended", "full")) == []  # never forgotten: a copy
+    assert story.beat("m-0", listed(attempt, "ended", "full")) == []  # may still arrive
+
+
+def test_an_unanswered_direct_start_is_not_given_up_because_a_report_does_not_list_it() -> None:
+    story = Story()
+    work = story.submit()
+    _, flown = story.block.direct(story.block.machines["m-0"], story.now)
+    story.block.landed(flown, None)
+    story.block.close_job("req-000001", story.now)
+    assert story.beat("m-0") == [("run", "req-000001/0"), ("halt", "req-000001/0")]
+    assert work.live  # the order may still arrive: first it is made known, then ended
+    attempt = story.attempt(work)
+    story.beat("m-0", listed(attempt, "ended", "stopped"))
+    assert not work.live
+
+
+def test_a_direct_start_that_was_refused_is_free_at_once() -> None:
+    story = Story()
+    work = story.submit()
+    _, flown = story.block.direct(story.block.machines["m-0"], story.now)
+    story.block.landed(flown, False)
+    assert story.attempt(work).stage == "planned"
+
+
+def test_a_report_older_than_the_answer_to_a_direct_start_does_not_end_it() -> None:
+    story = Story()
+    work = story.submit()
+    before = story.report("m-0")  # sent before the worker had the order
+    _, flown = story.block.direct(story.block.machines["m-0"], story.now)
+    attempt = story.attempt(work)
+    answer = story.report("m-0", listed(attempt, "fetching"))
+    story.block.answer(answer, story.now, flown)
+    story.block.landed(flown, True)
+    assert attempt.stage == "fetching"
+    story.block.beat(before, story.now)
+    assert work.live[0] is attempt
+
+
+def test_a_stopped_task_is_elsewhere_only_after_it_is_gone() -> None:
+    story = Story(machines=2)
+    work = story.submit()
+    attempt = story.attempt(work)
+    name = attempt.machine.name
+    story.beat(name)
+    story.beat(name, listed(attempt, "running"))
+    story.block.stop(attempt, 0.0)
+    story.block.plan(story.now)
+    assert work.live[0] is attempt
+    assert story.beat(name, listed(attempt, "running")) == [("halt", "req-000001/0")]
+    story.beat(name, listed(attempt, "ended", "stopped"))
+    story.block.plan(story.now)
+    assert work.live[0] is not attempt
+
+
+def test_no_task_goes_to_a_machine_that_the_next_owner_would_not_find() -> None:
+    story = Story(machines=0)
+    machine = story.add("m-0")
+    machine.recorded = False
+    work = story.submit()
+    story.beat("m-0")
+    story.block.plan(story.now)
+    assert not work.live
+    machine.recorded = True
+    story.block.plan(story.now)
+    assert work.live
+
+
+def test_a_limited_team_waits_while_tasks_of_unknown_size_may_run() -> None:
+    story = Story(limits={"red": Limits(cpus_max=2.0)})
+    story.add("m-9", loaded=True)
+    work = story.submit(tasks=3)
+    assert not work.live
+    story.beat("m-9", Listed("req-000777/0", 5, "running"))  # of a job that is over
+    story.block.plan(story.now)
+    assert not work.live
+    assert ("halt", "req-000777/0") in (story.beat("m-9") or [("halt", "req-000777/0")])
+    story.beat("m-9")
+    story.block.plan(story.now)
+    assert len(work.live) == 2  # and never a third
+
+
+def test_a_cancelled_job_is_halted_and_leaves_nothing_behind() -> None:
+    story = Story()
+    work = story.submit()
+    attempt = story.attempt(work)
+    story.beat("m-0")
+    story.beat("m-0", listed(attempt, "running"))
+    story.block.close_job("req-000001", story.now)
+    assert story.beat("m-0", listed(attempt, "running")) == [("halt", "req-000001/0")]
+    story.beat("m-0", listed(attempt, "ended", "stopped"))
+    assert "req-000001" not in story.block.works
+
+
+def test_a_broken_gang_is_started_anew_only_when_all_of_it_is_gone() -> None:
+    story = Story(machines=2)
+    work = story.submit(gang=True, tasks=2, cpus=3.0)
+    first, second = story.attempt(work, 0), story.attempt(work, 1)
+    assert first.token == second.token and first.machine is not second.machine
+    for one in (first, second):
+        story.beat(one.machine.name)
+        story.beat(one.machine.name, listed(one, "running"))
+    story.beat(first.machine.name, listed(first, "ended", "error"))
+    story.block.plan(story.now)
+    assert work.live == {1: second}
+    story.beat(second.machine.name, listed(second, "ended", "peers"))
+    story.now += 31 * US  # it is kept off the machine it failed on for a while
+    for one in (first, second):
+        story.beat(one.machine.name)
+    story.block.plan(story.now)
+    assert len(work.live) == 2 and work.live[0].token != first.token
+
+
+def test_one_zone_and_half_of_it_hold_together() -> None:
+    story = Story(machines=3)
+    story.block.machines["m-2"].zone = "b"
+    work = story.submit(tasks=4, one_zone=True, apart=True)
+    assert len(work.live) == 2
+    assert len({a.machine.zone for a in work.live.values()}) == 1
+
+
+def test_higher_rank_takes_room_from_lower_and_ordinary_work_does_not() -> None:
+    story = Story()
+    low = story.submit(1, tasks=4, rank=0)
+    for attempt in list(low.live.values()):
+        attempt.stage = "running"
+    assert not story.submit(2, rank=1).live
+    high = story.submit(3, gang=True, rank=2, cpus=3.0)
+    assert len(high.live) == 1
+    assert sum(1 for a in low.live.values() if a.grace is not None) == 3
+    there = [listed(attempt, "running") for attempt in low.live.values()]
+    orders = story.beat("m-0", *there)
+    assert orders is not None and ("run", "req-000003/0") not in orders  # there is no room yet
+    gone = [listed(a, "ended", "stopped") for a in low.live.values() if a.grace is not None]
+    kept = [listed(a, "running") for a in low.live.values() if a.grace is None]
+    assert ("run", "req-000003/0") in (story.beat("m-0", *gone, *kept) or [])
+
+
+def test_a_recalled_machine_is_saved_in_time() -> None:
+    story = Story()
+    work = story.submit(mark_every_us=20 * US, mark_s=5.0)
+    attempt = story.attempt(work)
+    story.beat("m-0")
+    report = story.report("m-0", listed(attempt, "running"))
+    report.recall_s = 30.0
+    assert story.block.beat(report, story.now) == []  # there is time: it goes on
+    report = story.report("m-0", listed(attempt, "running"))
+    report.recall_s = 7.0
+    wishes = story.block.beat(report, story.now)
+    assert wishes and wishes[0].verb == "halt" and wishes[0].grace_s == 5.0
--- /dev/null
+++ b/tests/test_rights.py
@@ -0,0 +1,128 @@
+"""Rights, promises and takeovers."""
+
+import asyncio
+
+from basaltlead.core.leadership import Grant, right_end
+from basaltlead.wire.peers import Ask
+from tests.fakes import World
+from tests.world import Loop, play
+
+
+def test_a_right_ends_before_its_hold_does_on_any_clock() -> None:
+    assert right_end(1_000_000, 5_000_000) < 1_000_000 + 5_000_000 * 0.999
+
+
+def test_an_outage_longer_than_a_right_is_ridden_through_on_promises() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=6, RunS=30.0))
+        await world.until(lambda: len(world.on("req-000001")) == 6)
+        owner, starts = world.owner(), world.referee.starts
+        assert owner is not None
+        right = world.parts[owner].member.ttl_us / 1e6
+        world.state.down = True
+        for _ in range(int((right + 5) * 10)):
+            await asyncio.sleep(0.1)
+            assert world.owner() == owner
+        world.state.outage_over()
+        await world.until_done("req-000001")
+        assert world.referee.starts == starts
+        world.verdict()
+
+    play(story)
+
+
+def test_promises_end_when_a_cancellation_could_no_longer_be_kept() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=2, RunS=300.0))
+        await world.until(lambda: len(world.on("req-000001")) == 2)
+        owner = world.owner()
+        assert owner is not None
+        world.state.down = True
+        await asyncio.sleep(world.parts[owner].settings.ride_us / 1e6 + 0.5)
+        assert world.owner() is None
+
+    play(story)
+
+
+def test_whoever_sees_the_state_service_promises_nothing() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        member = world.parts["node-0"].member
+        assert member.promise("node-1", "life", 1_000_000) == 0
+        world.state.down = True
+        await asyncio.sleep(member.ttl_us / 1e6)
+        span = member.promise("node-1", "life", 10**12)
+        assert 0 < span <= member.ttl_us
+        assert Ask(1, "node-1", "life", 5).span_us == 5
+
+    play(story)
+
+
+def test_a_promise_is_kept_and_one_that_may_be_forgotten_is_waited_out() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        member = world.parts["node-0"].member
+        gone = Grant("node-x", "life", 1)
+        assert not member.may_replace(gone)  # just started: may have promised in an earlier life
+        await asyncio.sleep(member.ttl_us * 1.02 / 1e6)
+        assert member.may_replace(gone)
+        world.state.down = True
+        await asyncio.sleep(member.ttl_us / 2e6)
+        assert member.promise("node-x", "life", member.ttl_us) > 0
+        assert not member.may_replace(gone)
+        assert member.may_replace(Grant("node-1", "an earlier life", 1))  # replaced by itself
+
+    play(story)
+
+
+def test_a_claim_from_an_old_picture_fails() -> None:
+    """The grant is guarded on the key that proves the old owner's right ended."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        await asyncio.sleep(8)
+        owner = world.owner()
+        assert owner is not None
+        other = next(name for name in world.nodes if name != owner)
+        member = world.parts[other].member
+        # It believes, wrongly, that the owner is gone and that it leads itself.
+        leader = world.state.keys["c/leader"]
+        world.state.keys["c/leader"] = (leader[0], leader[1], None)
+        del member.cluster.members[owner]
+        before = world.state.keys["c/block/0"]
+        try:
+            await member._grant(0)
+        except Exception as fault:
+            assert f"c/member/{owner}" in str(fault)
+        assert world.state.keys["c/block/0"] == before
+        assert world.owner() == owner
+
+    play(story)
+
+
+def test_a_restarted_owner_replaces_itself_at_once() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=4, RunS=20.0))
+        await world.until(lambda: len(world.on("req-000001")) == 4)
+        owner = world.owner()
+        assert owner is not None
+        world.crash(owner)
+        await asyncio.sleep(0.3)
+        world.boot(owner)
+        await world.until(lambda: world.owner() is not None, seconds=1.5)
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
