Blocks on all controllers; promises can't bring back a right that has ended

The leader leases blocks to the living members with fewest, and the tasks of new jobs to blocks; owners hand later halves of waiting arrays to blocks with free room, and a block to a member that has none. Teams with limits, gangs and jobs bound to zones stay whole.

--- a/basaltlead/clients/state.py
+++ b/basaltlead/clients/state.py
@@ -35,14 +35,13 @@
     Touches of the hold pass the budget by: they must never wait behind other requests.
     """
 
-    def __init__(self, address: str, rps: float, write_rps: float, nodes: int) -> None:
+    def __init__(self, address: str, rps: float, write_rps: float, nodes: int, owners: int) -> None:
         self.pool = Pool(address, limit=24)
         self.watches = Pool(address, limit=8)
         self.touches = Pool(address, limit=4)
         self.requests = Budget(max(1.0, rps * 0.8 / nodes))
-        self.writes = Budget(max(0.5, write_rps * 0.85 * 0.6), burst=max(1.0, write_rps * 0.5))
-
-    def share_writes(self, rate: float) -> None:
+        # Owners store results; all others only what users ask for now and then.
+        rate = write_rps * 0.85 * (0.6 if owners == 1 else 1 / owners)
         self.writes = Budget(max(0.5, rate), burst=max(1.0, rate))
 
     async def _call(
--- a/basaltlead/clock.py
+++ b/basaltlead/clock.py
@@ -1,10 +1,13 @@
-"""The two clocks of a process, in whole microseconds. Tests put their own in place."""
+"""What a process takes from the outside without asking anybody: two clocks, in whole
+microseconds, and chance. Tests put their own in place."""
 
+import random
 import time
 from collections.abc import Callable
 
 _steady: Callable[[], int] = time.monotonic_ns
 _wall: Callable[[], int] = time.time_ns
+chance = random.Random()
 
 
 def now_us() -> int:
@@ -17,7 +20,8 @@
     return _wall() // 1000
 
 
-def use(steady: Callable[[], int], wall: Callable[[], int]) -> None:
+def use(steady: Callable[[], int], wall: Callable[[], int], seed: int) -> None:
     """Take other sources, in nanoseconds."""
     global _steady, _wall
     _steady, _wall = steady, wall
+    chance.seed(seed)
--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -424,7 +424,12 @@
             else:
                 rest.forgettable = True
             return
-        if index not in work.live and not work.is_done(index) and not machine.synced:
+        if (
+            index not in work.live
+            and not work.is_done(index)
+            and not machine.synced
+            and work.holds(index)
+        ):
             # Started by the block's last owner, and still wanted: it goes on under its number.
             del machine.rest[key]
             attempt = Attempt(work, index, machine, seen.token, now)
@@ -445,6 +450,8 @@
                 out.append(Wish("halt", ref, index, token, 0.0))
             elif not rest.loose and (rest.forgettable or self._kept(ref, index)):
                 out.append(Wish("forget", ref, index, token))
+            if len(out) >= MAX_ORDERS:
+                break  # the others go with the next answer
         for attempt in list(machine.attempts.values()):
             if attempt.grace is not None:
                 if attempt.stage == "sent" and attempt.loose:
@@ -681,8 +688,7 @@
         if chosen is None:
             return
         work.token = self._token()
-        work.again.clear()
-        work.fresh = job.tasks
+        work.rewind()
         for index, machine in enumerate(chosen):
             self.start(work, index, machine, work.token, now)
         for machine in chosen:
--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -16,6 +16,10 @@
     return f"c/member/{name}"
 
 
+def load_key(block: int) -> str:
+    return f"c/load/{block}"
+
+
 def block_key(block: int) -> str:
     return f"c/block/{block}"
 
@@ -28,11 +32,19 @@
 
 
 class Grant(Struct):
-    """The value of a block's key."""
+    """The value of a block's key. One that was handed back names nobody, and whom to avoid."""
 
     name: str
     life: str
     baton: int
+    avoid: str = ""
+
+
+class Load(Struct):
+    """What a block's owner tells the others each round, in CPUs: tasks that wait, free room."""
+
+    waiting: float
+    free: float
 
 
 class Counter(Struct):
@@ -47,6 +59,7 @@
         self.leader: tuple[Claim, int] | None = None
         self.blocks: dict[int, tuple[Grant, int]] = {}
         self.baton: tuple[Counter, int] | None = None
+        self.loads: dict[int, Load] = {}
 
     def lives(self, name: str, life: str) -> bool:
         member = self.members.get(name)
@@ -60,6 +73,26 @@
     def leader_lives(self) -> bool:
         return self.leader is not None and self.lives(self.leader[0].name, self.leader[0].life)
 
+    def taker(self, block: int, me: str) -> str | None:
+        """Whom to lease a block to: the living member with fewest blocks, the leader itself
+        among equals, and not whoever has just handed it back if there is anybody else."""
+        count = dict.fromkeys(self.members, 0)
+        for held, _ in self.blocks.values():
+            if self.lives(held.name, held.life):
+                count[held.name] += 1
+        held_back = self.blocks.get(block)
+        avoid = held_back[0].avoid if held_back is not None else ""
+        return min(
+            count, key=lambda name: (name == avoid, count[name], name != me, name), default=None
+        )
+
+    def overloaded(self, me: str) -> int | None:
+        """A block of ours that a member without any should have."""
+        mine = [b for b, (held, _) in self.blocks.items() if held.name == me]
+        owners = {held.name for held, _ in self.blocks.values()}
+        idle = [name for name in self.members if name not in owners]
+        return max(mine) if len(mine) > 1 and idle else None
+
     def orphans(self, count: int) -> list[int]:
         """Blocks without a living owner."""
         out = []
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -44,6 +44,7 @@
     for machine in machines:
         if (
             machine.zone not in zones
+            or machine.crowded
             or not rooms[machine.name].fits(job)
             or not allowed(job, machine.kind.name, machine.zone, machine.spot)
         ):
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -16,14 +16,15 @@
 from basaltlead.net.http import Failed, Request, Response
 from basaltlead.net.limiter import Limiter
 from basaltlead.records import (
+    LEASE,
     OPEN,
     OVER,
-    STRETCH,
     Final,
     Progress,
     StoredJob,
     job_of,
     split_open,
+    stretch_count,
 )  # fmt: skip
 from basaltlead.wire.state import Drop, Guard, Put, Row
 from basaltlead.wire.users import REF, JobAnswer, Refusal, Submission
@@ -45,12 +46,18 @@
 
 class FrontDesk:
     def __init__(
-        self, state: State, member: Membership, teams: dict[str, Limits], txn_ops: int
+        self,
+        state: State,
+        member: Membership,
+        teams: dict[str, Limits],
+        txn_ops: int,
+        blocks: int,
     ) -> None:
         self.state = state
         self.member = member
         self.teams = teams
         self.txn_ops = txn_ops
+        self.blocks = blocks
         self.kinds: dict[str, Kind] = {}
         self.limiter = Limiter()
         self.finals: dict[str, Final] = {}  # final answers, the only ones that may be cached
@@ -137,7 +144,8 @@
 
     async def _rows(self, ref: str) -> list[Row]:
         """The open job's rows: itself first, then its results; empty if it is not open."""
-        page = await self.state.page(OPEN + ref, most=2 + 100_000 // STRETCH + 1)
+        most = 1 + self.blocks * stretch_count(100_000)
+        page = await self.state.page(OPEN + ref, most=most)
         rows = [row for row in page.rows if split_open(row.key)[0] == ref]
         return rows if rows and rows[0].key == OPEN + ref else []
 
@@ -190,7 +198,10 @@
                 return refusal(503, "starting", LATER)
             done = sum(msgspec.json.decode(row.value, type=Progress).count for row in rows[1:])
             final = Final("withdrawn", done)
-            drops = [Drop(row.key) for row in rows][: self.txn_ops - 1]
+            drops = [Drop(row.key) for row in rows]
+            if self.blocks > 1:
+                drops.insert(1, Drop(LEASE + ref))
+            drops = drops[: self.txn_ops - 1]
             try:
                 await self.state.multi(
                     [self.member.guard(), Guard(OPEN + ref, rows[0].stamp), Guard(OVER + ref, 0)],
--- /dev/null
+++ b/basaltlead/leasing.py
@@ -0,0 +1,173 @@
+"""The leader leases the tasks of new jobs to blocks; and every node knows whose a machine is."""
+
+import asyncio
+import zlib
+
+import msgspec
+
+from basaltlead.clients.base import Backoff
+from basaltlead.clients.state import State, TooOld
+from basaltlead.core.block import Limits
+from basaltlead.core.leadership import LEADER
+from basaltlead.core.model import Job
+from basaltlead.logs import log
+from basaltlead.membership import TROUBLE, Membership
+from basaltlead.records import (
+    HIRE,
+    LEASE,
+    MACHINE,
+    OPEN,
+    Lease,
+    StoredHire,
+    StoredJob,
+    StoredMachine,
+    job_of,
+    split_open,
+)  # fmt: skip
+from basaltlead.wire.state import Guard, Put, Row
+
+
+def home_of(team: str, blocks: int) -> int:
+    """The block of a team whose tasks must be counted together."""
+    return zlib.crc32(team.encode()) % blocks
+
+
+def parts_of(
+    job: Job, limits: Limits, blocks: int, loads: dict[int, float]
+) -> list[tuple[int, int, int]]:
+    """Which block gets which tasks of a new job: a team with a limit or a guarantee has one
+    block for all its jobs, jobs that must be placed as a whole go to the least loaded one, and
+    other arrays are dealt out evenly."""
+    least = min(range(blocks), key=lambda block: (loads.get(block, 0.0), block))
+    if limits.cpus_max or limits.gpus_max or limits.cpus or limits.gpus:
+        return [(0, job.tasks, home_of(job.team, blocks))]
+    if job.gang or job.one_zone or job.apart or job.tasks < 2 * blocks:
+        return [(0, job.tasks, least)]
+    cuts = [job.tasks * number // blocks for number in range(blocks + 1)]
+    return [(cuts[block], cuts[block + 1], block) for block in range(blocks)]
+
+
+class Leasing:
+    """Follows open jobs, leases, machines and hires on every node, if there are several blocks;
+    acts on them on the leader."""
+
+    def __init__(
+        self, member: Membership, state: State, teams: dict[str, Limits], blocks: int
+    ) -> None:
+        self.member = member
+        self.state = state
+        self.teams = teams
+        self.blocks = blocks
+        self.jobs: dict[str, tuple[Job, int]] = {}
+        self.leases: dict[str, Lease] = {}
+        self.machines: dict[str, int] = {}
+        self.hired: dict[str, int] = {}
+        self.wake = asyncio.Event()
+
+    def block_of(self, machine: str) -> int | None:
+        found = self.machines.get(machine)
+        return self.hired.get(machine) if found is None else found
+
+    async def follow(self, prefix: str) -> None:
+        """Keep one of our tables like the keys under a prefix."""
+        backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        since: int | None = None
+        while True:
+            try:
+                if since is None:
+                    rows, since = await self.state.rows(prefix)
+                    self._load(prefix, rows)
+                changes = await self.state.changes(prefix, since, 4000)
+                for change in changes.log:
+                    if change.put is not None:
+                        self._put(prefix, change.put, change.value, change.stamp)
+                    elif change.drop is not None:
+                        self._drop(prefix, change.drop)
+                since = max(since, changes.revision)
+                backoff.reset()
+            except TooOld:
+                since = None
+            except TROUBLE as fault:
+                log.debug("following %s: %s", prefix, fault)
+                await backoff.rest()
+
+    def _load(self, prefix: str, rows: list[Row]) -> None:
+        if prefix == OPEN:
+            self.jobs.clear()
+        elif prefix == LEASE:
+            self.leases.clear()
+        elif prefix == MACHINE:
+            self.machines.clear()
+        for row in rows:
+            self._put(prefix, row.key, row.value, row.stamp)
+
+    def _put(self, prefix: str, key: str, raw: msgspec.Raw, stamp: int) -> None:
+        name = key[len(prefix) :]
+        if prefix == OPEN:
+            ref, part = split_open(key)
+            if part is None:
+                job = job_of(msgspec.json.decode(raw, type=StoredJob).job)
+                self.jobs[ref] = (job, stamp)
+                self.wake.set()
+        elif prefix == LEASE:
+            self.leases[name] = msgspec.json.decode(raw, type=Lease)
+        elif prefix == MACHINE:
+            self.machines[name] = msgspec.json.decode(raw, type=StoredMachine).block
+        elif prefix == HIRE:
+            hire = msgspec.json.decode(raw, type=StoredHire)
+            for machine in hire.names or ():
+                self.hired[machine] = hire.block
+            while len(self.hired) > 2000:
+                del self.hired[next(iter(self.hired))]
+
+    def _drop(self, prefix: str, key: str) -> None:
+        name = key[len(prefix) :]
+        if prefix == OPEN:
+            ref, part = split_open(key)
+            if part is None:
+                self.jobs.pop(ref, None)
+        elif prefix == LEASE:
+            self.leases.pop(name, None)
+        elif prefix == MACHINE:
+            self.machines.pop(name, None)
+
+    async def lease(self) -> None:
+        """On the leader: a lease for every open job that has none."""
+        while True:
+            try:
+                async with asyncio.timeout(0.5):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            if not self.member.acts or not self.member.leads:
+                continue
+            for ref, (job, stamp) in list(self.jobs.items()):
+                if ref not in self.leases:
+                    await self._lease(ref, job, stamp)
+
+    def _loads(self) -> dict[int, float]:
+        out: dict[int, float] = {}
+        for ref, lease in self.leases.items():
+            known = self.jobs.get(ref)
+            if known is not None:
+                for low, high, block in lease.parts:
+                    work = (high - low) * known[0].cpus * max(known[0].guess_us, 1)
+                    out[block] = out.get(block, 0.0) + work
+        return out
+
+    async def _lease(self, ref: str, job: Job, stamp: int) -> None:
+        leader = self.member.cluster.leader
+        if leader is None:
+            return
+        limits = self.teams.get(job.team, Limits())
+        lease = Lease(parts_of(job, limits, self.blocks, self._loads()))
+        guards = [
+            self.member.guard(), Guard(LEADER, leader[1]), Guard(OPEN + ref, stamp),
+            Guard(LEASE + ref, 0),
+        ]  # fmt: skip
+        try:
+            await self.state.multi(guards, [Put(LEASE + ref, lease)])
+            self.leases[ref] = lease
+        except TROUBLE as fault:
+            log.debug("lease of %s: %s", ref, fault)
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -1,15 +1,13 @@
 """This process among the others: its hold, its place in the cluster, who leads, who owns what."""
 
 import asyncio
-import os
-import random
 from collections.abc import Callable
 
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.state import Conflict, NoHold, State, TooOld
-from basaltlead.clock import now_us
+from basaltlead.clock import chance, now_us
 from basaltlead.core import leadership
 from basaltlead.core.leadership import (
     BATON,
@@ -19,6 +17,7 @@
     Cluster,
     Counter,
     Grant,
+    Load,
     block_key,
     member_key,
 )  # fmt: skip
@@ -55,13 +54,17 @@
         self.changed: Callable[[], None] = lambda: None
         self.wake = asyncio.Event()
         self.shy_until = 0  # after stepping down: let others claim first
-        self.chance = random.Random()
+        self.chance = chance
 
     # Rights
 
     @property
     def acts(self) -> bool:
-        return self.stamp > 0 and now_us() < max(self.touched_until, self.vouched_until)
+        return self.stamp > 0 and now_us() < self.right_until
+
+    @property
+    def right_until(self) -> int:
+        return max(self.touched_until, self.vouched_until)
 
     @property
     def lonely(self) -> bool:
@@ -78,7 +81,9 @@
         With the state service in sight there is no reason to: if the owner has lost it alone,
         somebody else should serve its machines.
         """
-        if not self.lonely or span_us <= 0:
+        member = self.cluster.members.get(name)
+        replaced = bool(self.cluster.members) and (member is None or member[0].life != life)
+        if not self.lonely or replaced or span_us <= 0:
             return 0
         span = min(span_us, self.ttl_us)
         now = now_us()
@@ -153,7 +158,7 @@
         sent = now_us()
         hold = await self.state.hold(self.ttl_us)
         old = await self.state.get(member_key(self.name))
-        life = os.urandom(6).hex()
+        life = f"{chance.getrandbits(48):012x}"
         # Guarded on what stood there, so that a late copy of this very request from an earlier
         # incarnation can't put that one back into our place.
         stamp = await self.state.multi(
@@ -224,6 +229,9 @@
                 known = self.cluster.members.get(name)
                 if known is None or known[1] <= stamp:
                     self.cluster.members[name] = (msgspec.json.decode(raw, type=Claim), stamp)
+            elif key.startswith("c/load/"):
+                load = msgspec.json.decode(raw, type=Load)
+                self.cluster.loads[int(key.removeprefix("c/load/"))] = load
             elif key.startswith("c/block/"):
                 grant = msgspec.json.decode(raw, type=Grant)
                 self.cluster.blocks[int(key.removeprefix("c/block/"))] = (grant, stamp)
@@ -289,9 +297,11 @@
         guards = [self.guard(), Guard(LEADER, cluster.leader[1]), Guard(BATON, baton_stamp)]
         held = cluster.blocks.get(block)
         guards.append(Guard(block_key(block), held[1] if held else 0))
-        if held is not None and held[0].name and held[0].name != self.name:
-            guards.append(Guard(member_key(held[0].name), cluster.member_stamp(held[0].name)))
-        grant = Grant(self.name, self.life, counter.last + 1)
+        target = cluster.taker(block, self.name) or self.name
+        named = {held[0].name if held is not None else "", target} - {"", self.name}
+        for name in sorted(named):  # the old owner's right has ended; the new one lives
+            guards.append(Guard(member_key(name), cluster.member_stamp(name)))
+        grant = Grant(target, cluster.members[target][0].life, counter.last + 1)
         stamp = await self.state.multi(
             guards, [Put(BATON, Counter(grant.baton)), Put(block_key(block), grant)]
         )
@@ -300,16 +310,18 @@
         log.info("block %d leased to %s with baton %d", block, grant.name, grant.baton)
         self.changed()
 
-    async def step_down(self, block: int) -> bool:
-        """Hand a block and the leader's place back; the caller has stopped acting for it."""
+    async def step_down(self, block: int, leader_too: bool) -> bool:
+        """Hand a block back, and the leader's place if so wished, for others to take; the caller
+        has stopped acting for it."""
         held = self.owned(block)
         if held is None:
             return True
-        self.shy_until = now_us() + 15_000_000
+        if leader_too:
+            self.shy_until = now_us() + 15_000_000
         guards = [self.guard(), Guard(block_key(block), held[1])]
-        free = Grant("", "", held[0].baton)
+        free = Grant("", "", held[0].baton, avoid=self.name)
         apply: list[Put | Drop] = [Put(block_key(block), free)]
-        if self.leads and self.cluster.leader is not None:
+        if leader_too and self.leads and self.cluster.leader is not None:
             guards.append(Guard(LEADER, self.cluster.leader[1]))
             apply.append(Drop(LEADER))
         try:
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -12,22 +13,23 @@
 from basaltlead.clients.state import State
 from basaltlead.clock import now_us
 from basaltlead.core.fleet import Shop
+from basaltlead.core.leadership import Grant
 from basaltlead.core.market import Market, Terms, targets_of
 from basaltlead.core.model import US, Kind
 from basaltlead.frontdesk import FrontDesk, refusal
+from basaltlead.leasing import Leasing
 from basaltlead.logs import Brake, log
 from basaltlead.membership import TROUBLE, Membership
 from basaltlead.net.http import Failed, Request, Response, Server
 from basaltlead.owner import Owner, limits_of
 from basaltlead.peers import Peers
-from basaltlead.records import TYPES, kind_of
+from basaltlead.records import HIRE, LEASE, MACHINE, OPEN, TYPES, kind_of
 from basaltlead.renting import Renting
 from basaltlead.settings import Settings
 from basaltlead.wire.cloud import MachineType, Types
 from basaltlead.wire.state import Put
 from basaltlead.wire.workers import Elsewhere, Report
 
-BLOCKS = 1
 RESERVED_SOCKETS = 150  # for our own calls to workers, state service, cloud and peers
 
 report_decoder = msgspec.json.Decoder(Report)
@@ -37,17 +39,24 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         facts = settings.facts
+        spread = min(facts.nodes, settings.operator.blocks)  # nodes that own something
         self.state = State(
-            settings.services.state, facts.state.rps, facts.state.write_rps, facts.nodes
+            settings.services.state, facts.state.rps, facts.state.write_rps, facts.nodes, spread
+        )
+        self.cloud = Cloud(settings.services.cloud, facts.cloud.rps / spread)
+        self.member = Membership(
+            settings.member, self.state, settings.right_us, settings.operator.blocks
         )
-        self.cloud = Cloud(settings.services.cloud, facts.cloud.rps)
-        self.member = Membership(settings.member, self.state, settings.right_us, BLOCKS)
         self.member.changed = self._changed
         self.peers = Peers(self.member, settings.internal_addr, settings.known)
-        self.desk = FrontDesk(self.state, self.member, limits_of(settings), facts.state.txn_ops)
+        blocks = settings.operator.blocks
+        self.leasing = Leasing(self.member, self.state, limits_of(settings), blocks)
+        self.desk = FrontDesk(
+            self.state, self.member, limits_of(settings), facts.state.txn_ops, blocks
+        )
         self.desk.closed = self._closed
         self.kinds: dict[str, Kind] = self.desk.kinds
-        self.owner: Owner | None = None
+        self.owners: dict[int, Owner] = {}
         self.kept_types: set[str] = set()
         self.shop = Shop()
         self.brake = Brake()
@@ -65,11 +74,15 @@
             ("ask", self.peers.ask),
         ):  # fmt: skip
             self._spawn(work, name)
+        if self.settings.operator.blocks > 1:
+            self._spawn(self.leasing.lease, "lease")
+            for prefix in (OPEN, LEASE, MACHINE, HIRE):
+                self._spawn(partial(self.leasing.follow, prefix), f"follow {prefix}")
         await asyncio.Event().wait()
 
     def every_task(self) -> list[asyncio.Task[None]]:
         """All that runs in this process: a crash ends it without a word."""
-        return [*self.tasks, *(self.owner.tasks if self.owner is not None else ())]
+        return [*self.tasks, *(task for owner in self.owners.values() for task in owner.tasks)]
 
     def _spawn(self, work: Any, name: str) -> None:
         """A loop that is started again, and logged, should it ever fail."""
@@ -88,49 +101,60 @@
     # What we own
 
     def _changed(self) -> None:
-        """The cluster has changed: take up a block that is ours, let go one that is not."""
-        held = self.member.owned(0) if self.member.stamp else None
-        owner = self.owner
-        if owner is not None and (held is None or held[1] != owner.stamp):
-            log.info("block 0 let go")
-            owner.stop()
-            self.owner = None
-        if self.owner is None and held is not None:
-            op = self.settings.operator
-            facts = self.settings.facts
-            terms = Terms(
-                int(op.round_s * US), int(op.refill_s * US), op.budget,
-                op.reserve_price, op.threshold,
-            )  # fmt: skip
-            targets = targets_of([(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives])
-            market = Market(terms, [t.name for t in facts.teams], targets)
-            owner = Owner(
-                self.settings, self.member, self.state, 0, held[0], held[1], market, self.kinds
-            )
-            renting = Renting(self.settings, self.cloud, owner, market, self.shop)
-            owner.on_loaded = renting.start
-            self.owner = owner
-            owner.start()
+        """The cluster has changed: take up blocks that are ours, let go those that are not."""
+        for number in range(self.settings.operator.blocks):
+            held = self.member.owned(number) if self.member.stamp else None
+            owner = self.owners.get(number)
+            if owner is not None and (held is None or held[1] != owner.stamp):
+                log.info("block %d let go", number)
+                owner.stop()
+                owner = self.owners.pop(number) and None
+            if owner is None and held is not None:
+                self._take_up(number, held[0], held[1])
+
+    def _take_up(self, number: int, grant: Grant, stamp: int) -> None:
+        op = self.settings.operator
+        facts = self.settings.facts
+        terms = Terms(
+            int(op.round_s * US), int(op.refill_s * US), op.budget / op.blocks,
+            op.reserve_price, op.threshold,
+        )  # fmt: skip
+        targets = targets_of([(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives])
+        market = Market(terms, [t.name for t in facts.teams], targets)
+        owner = Owner(
+            self.settings, self.member, self.state, number, grant, stamp, market, self.kinds
+        )
+        owner.foreign = lambda name: self.leasing.block_of(name) not in (None, number)
+        renting = Renting(self.settings, self.cloud, owner, market, self.shop)
+        owner.on_loaded = renting.start
+        self.owners[number] = owner
+        owner.start()
 
     def _closed(self, ref: str) -> None:
-        if self.owner is not None and self.owner.loaded:
-            self.owner.close(ref)
+        for owner in self.owners.values():
+            if owner.loaded:
+                owner.close(ref)
 
     async def _mind(self) -> None:
-        """Notice when others would serve our machines better than we do."""
+        """Notice when others would serve our machines better than we do, or have nothing to do."""
         while True:
             await asyncio.sleep(0.3)
-            owner = self.owner
-            if owner is None:
-                continue
-            if owner.resigned or self._deaf(owner):
-                if not owner.resigned:
-                    log.info("no report for too long: stepping down")
-                owner.resigned = True
-                if await self.member.step_down(0):
-                    owner.stop()
-                    self.owner = None
-                    self.member.cluster.blocks.pop(0, None)
+            for number, owner in list(self.owners.items()):
+                if not owner.resigned and self._deaf(owner):
+                    log.info("block %d: no report for too long, stepping down", number)
+                    owner.resigned = True
+                if owner.resigned:
+                    await self._hand_back(number, owner, leader_too=True)
+            surplus = self.member.cluster.overloaded(self.member.name)
+            if surplus in self.owners and self.owners[surplus].acts:
+                self.owners[surplus].resigned = True
+                await self._hand_back(surplus, self.owners[surplus], leader_too=False)
+
+    async def _hand_back(self, number: int, owner: Owner, leader_too: bool) -> None:
+        if await self.member.step_down(number, leader_too):
+            owner.stop()
+            self.owners.pop(number, None)
+            self.member.cluster.blocks.pop(number, None)
 
     def _deaf(self, owner: Owner) -> bool:
         """All machines silent at once while other members live: more likely our own links."""
@@ -159,7 +183,7 @@
                     self.kinds[kind.name] = kind
                 backoff.reset()
                 await self._keep_types(types)
-                await asyncio.sleep(30 if self.owner is not None else 180)
+                await asyncio.sleep(30 if self.owners else 180)
             except (Failed, Unavailable, NoCapacity) as fault:
                 log.info("machine types: %s", fault)
                 await self._stored_types()
@@ -168,7 +192,7 @@
     async def _keep_types(self, types: list[MachineType]) -> None:
         """Whoever starts while the cloud is in trouble finds the types in the state service."""
         known = {kind_of(one).name for one in types}
-        if self.owner is None or known == self.kept_types:
+        if not self.owners or known == self.kept_types:
             return
         try:
             await self.state.multi([self.member.guard()], [Put(TYPES, Types(types))])
@@ -211,11 +235,13 @@
             if self.brake.ok(now_us()):
                 log.info("malformed report: %s", fault)
             return refusal(400, "malformed report")
-        if self.owner is not None:
-            answer = self.owner.beat(report)
+        number = self.leasing.block_of(report.machine) or 0
+        owner = self.owners.get(number)
+        if owner is not None:
+            answer = owner.beat(report)
             if answer is not None:
                 return answer
-        elsewhere = self.member.owner(0)
+        elsewhere = self.member.owner(number)
         if elsewhere is None or elsewhere == self.member.name:
             return refusal(503, "no owner known")
         return Response(421, encode(Elsewhere(elsewhere)))
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -11,32 +11,35 @@
 from basaltlead.clients.workers import Workers
 from basaltlead.clock import now_us, wall_us
 from basaltlead.core.block import Block, Limits, Timing, Wish
-from basaltlead.core.leadership import Grant, block_key
+from basaltlead.core.leadership import Grant, Load, block_key, load_key
 from basaltlead.core.market import Market, TeamRecord
-from basaltlead.core.model import US, Attempt, Kind, Machine, Work
+from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Work
 from basaltlead.logs import log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Response
 from basaltlead.records import (
     HIRE,
+    LEASE,
     MACHINE,
     OPEN,
     OVER,
-    STRETCH,
     TEAM,
     Final,
+    Lease,
     Progress,
     StoredHire,
     StoredJob,
     StoredMachine,
     job_of,
     load_progress,
+    progress_key,
     progress_of,
     split_open,
+    stretch_count,
     stretches,
 )  # fmt: skip
 from basaltlead.settings import Settings
-from basaltlead.wire.state import Change, Drop, Guard, Put
+from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 from basaltlead.wire.workers import Command, Order, Orders, Report
 
 TROUBLE = (Failed, Unavailable, Conflict, NoHold)
@@ -74,6 +77,10 @@
         self.resigned = False  # we have stopped acting, for good
         self.watched_at = now_us()  # when the last good look at the open jobs was asked for
         self.hires: dict[str, StoredHire] = {}
+        self.shared = settings.operator.blocks > 1  # is the work leased in parts?
+        self.leases: dict[str, tuple[Lease, int]] = {}
+        self.leases_since = 0
+        self.giving: set[str] = set()  # jobs of which we are handing tasks over
         self.early: dict[str, int] = {}  # answers given before the block was loaded
         self.stored_running: dict[str, int] = {}
         self.flushed_at: dict[str, int] = {}
@@ -83,6 +90,7 @@
         self.heard_at = 0  # the last report of any machine
         self.lanes: dict[str, tuple[Work, list[int]]] = {}  # the last job of a class, arrivals
         self.on_loaded: Callable[[], None] = lambda: None
+        self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
 
     # Rights
 
@@ -142,6 +150,9 @@
         self.spawn(self._flush(), "loop flush")
         self.spawn(self._plan(), "loop plan")
         self.spawn(self._rounds(), "loop rounds")
+        if self.shared:
+            self.spawn(self._watch_leases(), "loop leases")
+            self.spawn(self._balance(), "loop balance")
         for machine in list(self.block.machines.values()):
             if machine.name in self.block.risky and machine.address:
                 self.spawn(self._sync(machine), f"sync {machine.name}")
@@ -153,11 +164,16 @@
         machines, _ = await self.state.rows(MACHINE)
         hires, _ = await self.state.rows(HIRE)
         teams, _ = await self.state.rows(TEAM)
+        leases: list[Row] = []
+        if self.shared:
+            leases, self.leases_since = await self.state.rows(LEASE)
         now = now_us()
         for row in rows:
             self._take_open(row.key, row.value, row.stamp, now)
         for row in machines:
             stored = msgspec.json.decode(row.value, type=StoredMachine)
+            if stored.block != self.number:
+                continue
             kind = self.kinds.get(stored.kind) or placeholder_kind(stored.kind)
             machine = Machine(row.key[len(MACHINE) :], kind, stored.zone, stored.spot, now)
             machine.address = stored.address
@@ -165,9 +181,15 @@
             machine.answered_at = self.early.get(machine.name, block.took_at)
             block.load_machine(machine)
         for row in hires:
-            self.hires[row.key[len(HIRE) :]] = msgspec.json.decode(row.value, type=StoredHire)
+            hire = msgspec.json.decode(row.value, type=StoredHire)
+            if hire.block == self.number:
+                self.hires[row.key[len(HIRE) :]] = hire
+        for row in leases:
+            self._take_lease(row.key, row.value, row.stamp)
         for row in teams:
-            self.market.load(row.key[len(TEAM) :], msgspec.json.decode(row.value, type=TeamRecord))
+            team, _, number = row.key[len(TEAM) :].rpartition("/")
+            if number == str(self.number):
+                self.market.load(team, msgspec.json.decode(row.value, type=TeamRecord))
         self.watched_at = asked
         log.info(
             "block %d loaded: %d jobs, %d machines, %d hires", self.number,
@@ -181,13 +203,15 @@
         return max(0, wall_us() - at)
 
     def _take_open(self, key: str, raw: msgspec.Raw, stamp: int, now: int) -> None:
-        ref, stretch = split_open(key)
-        if stretch is None:
+        ref, part = split_open(key)
+        if part is None:
             stored = msgspec.json.decode(raw, type=StoredJob)
             if ref in self.block.works:
                 return
             age = self._age(stored.at)
             work = self.block.add_job(job_of(stored.job), stamp, now, age)
+            if self.shared:
+                work.lease(self.leases[ref][0].of(self.number) if ref in self.leases else [])
             work.bid = self.market.first_bid(work, now)
             seen = self.lanes.setdefault(work.job.lane, (work, []))[1]
             seen.append(now - age)
@@ -195,8 +219,9 @@
             self.lanes[work.job.lane] = (work, seen)
             log.info("job %s (%s, %d tasks) taken up", ref, work.job.lane, work.job.tasks)
             self.wake.set()
-        elif not self.loaded and ref in self.block.works:
-            load_progress(self.block.works[ref], stretch, msgspec.json.decode(raw, type=Progress))
+        elif ref in self.block.works and (not self.loaded or part[0] != self.number):
+            progress = msgspec.json.decode(raw, type=Progress)
+            load_progress(self.block.works[ref], part[1], progress, part[0] == self.number)
 
     # Jobs
 
@@ -226,8 +251,8 @@
         if change.put is not None:
             self._take_open(change.put, change.value, change.stamp, now_us())
         elif change.drop is not None:
-            ref, stretch = split_open(change.drop)
-            if stretch is None:
+            ref, part = split_open(change.drop)
+            if part is None:
                 self.close(ref)
 
     async def _relist(self) -> int:
@@ -284,6 +309,126 @@
         self.block.add_machine(machine)
         return machine
 
+    # Leases
+
+    def _take_lease(self, key: str, raw: msgspec.Raw, stamp: int) -> None:
+        ref = key[len(LEASE) :]
+        known = self.leases.get(ref)
+        if known is not None and known[1] > stamp:
+            return  # told late: we have changed it ourselves meanwhile
+        lease = msgspec.json.decode(raw, type=Lease)
+        self.leases[ref] = (lease, stamp)
+        work = self.block.works.get(ref)
+        if work is not None and ref not in self.giving:
+            work.lease(lease.of(self.number))
+            self.block.dirty = True
+            self.wake.set()
+
+    async def _watch_leases(self) -> None:
+        """Follow which of the jobs' tasks are ours to start."""
+        backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        while True:
+            try:
+                changes = await self.state.changes(LEASE, self.leases_since, self.member.watch_ms)
+                for change in changes.log:
+                    if change.put is not None:
+                        self._take_lease(change.put, change.value, change.stamp)
+                    elif change.drop is not None:
+                        self.leases.pop(change.drop[len(LEASE) :], None)
+                self.leases_since = max(self.leases_since, changes.revision)
+                backoff.reset()
+            except TooOld:
+                try:
+                    rows, self.leases_since = await self.state.rows(LEASE)
+                    for row in rows:
+                        self._take_lease(row.key, row.value, row.stamp)
+                except TROUBLE:
+                    await backoff.rest()
+            except TROUBLE as fault:
+                log.debug("leases: %s", fault)
+                await backoff.rest()
+
+    async def give(self, work: Work, to: int) -> None:
+        """Hand the later half of a job's unstarted tasks to another block.
+
+        We stop regarding them as ours before we ask, and until the lease's record has changed:
+        a request that went unanswered may still be executed later, so it is repeated until it
+        either was, or can't be any more since the record is a newer one.
+        """
+        ref = work.job.ref
+        tail = work.spare_tail()
+        known = self.leases.get(ref)
+        unsure = any(key[0] == ref for m in self.block.machines.values() for key in m.rest)
+        if tail is None or known is None or ref in self.giving or self.block.risky or unsure:
+            return
+        lease, stamp = known
+        low, high = tail
+        parts: list[tuple[int, int, int]] = []
+        for first, end, block in lease.parts:
+            if block == self.number and first <= low < end:
+                parts += [(first, low, block)] if first < low else []
+                parts += [(low, high, to)]
+                parts += [(high, end, block)] if high < end else []
+            else:
+                parts.append((first, end, block))
+        given = Lease(parts)
+        self.giving.add(ref)
+        work.lease(given.of(self.number))
+        backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        guards = [*self.guards(), Guard(OPEN + ref, work.stamp), Guard(LEASE + ref, stamp)]
+        try:
+            while not self.resigned:
+                try:
+                    stamp = await self.state.multi(guards, [Put(LEASE + ref, given)])
+                    self.leases[ref] = (given, stamp)
+                    log.info("tasks %d to %d of %s go to block %d", low, high - 1, ref, to)
+                    break
+                except Conflict as conflict:
+                    if LEASE + ref in conflict.failed or OPEN + ref in conflict.failed:
+                        break  # the record is another: the watch tells what it says
+                    await backoff.rest()
+                except (Failed, Unavailable, NoHold):
+                    await backoff.rest()
+            row = await self.state.get(LEASE + ref)
+        except TROUBLE:
+            row = None
+        finally:
+            self.giving.discard(ref)
+        if row is not None and ref in self.block.works:
+            self._take_lease(row.key, row.value, row.stamp)
+
+    async def _balance(self) -> None:
+        """Each round: say how much waits here and how much is free, and hand tasks that wait
+        to the block with most free room."""
+        while True:
+            await asyncio.sleep(self.market.terms.round_us / US / 2)
+            if not self.acts:
+                continue
+            works = [
+                w
+                for w in self.block.works.values()
+                if not w.closed and splittable(w.job, self.block)
+            ]
+            waiting = sum(w.waiting * w.job.cpus for w in works)
+            free = sum(
+                max(0.0, m.room(staying=True).cpus)
+                for m in self.block.machines.values()
+                if m.usable(now_us())
+            )
+            load = Load(round(waiting, 1), round(free, 1))
+            await self._store(self._store_load(load))
+            others = {
+                number: other
+                for number, other in self.member.cluster.loads.items()
+                if number != self.number and other.waiting == 0 and other.free > 0
+            }
+            if waiting > free and others and works:
+                to = max(others, key=lambda number: others[number].free)
+                await self.give(max(works, key=lambda w: w.waiting * w.job.cpus), to)
+
+    async def _store_load(self, load: Load) -> None:
+        await self.state.multi(self.guards(), [Put(load_key(self.number), load)])
+
     def _record(self, machine: Machine, report: Report) -> None:
         """A machine must stand in the state service before its first task, so that the next
         owner knows where tasks may be."""
@@ -295,10 +440,16 @@
 
     async def _store_machine(self, machine: Machine) -> None:
         stored = StoredMachine(
-            machine.kind.name, machine.zone, machine.spot, machine.address, wall_us()
+            machine.kind.name, machine.zone, machine.spot, machine.address, wall_us(), self.number
         )
         try:
-            await self.state.multi(self.guards(), [Put(MACHINE + machine.name, stored)])
+            # Guarded on there being no such record: a machine belongs to the first block that
+            # writes it down.
+            guards = [*self.guards(), Guard(MACHINE + machine.name, 0)]
+            await self.state.multi(guards, [Put(MACHINE + machine.name, stored)])
+        except Conflict as conflict:
+            if MACHINE + machine.name not in conflict.failed or not await self._is_ours(machine):
+                return
         except TROUBLE as fault:
             log.info("recording %s: %s", machine.name, fault)
             return  # its next report tries again
@@ -308,6 +459,21 @@
             self.wake.set()
             log.info("machine %s (%s in %s) is up", machine.name, machine.kind.name, machine.zone)
 
+    async def _is_ours(self, machine: Machine) -> bool:
+        """Does the record that stands name this block? An unanswered write of ours may have
+        been executed. A machine of another block's is none of our business."""
+        try:
+            row = await self.state.get(MACHINE + machine.name)
+        except TROUBLE:
+            return False
+        if row is None:
+            return False
+        if msgspec.json.decode(row.value, type=StoredMachine).block == self.number:
+            return True
+        log.info("machine %s belongs to another block", machine.name)
+        self.block.machines.pop(machine.name, None)
+        return False
+
     async def _sync(self, machine: Machine) -> None:
         """Ask a machine directly, so that it shows our baton before its next report."""
         session = 1
@@ -368,15 +534,20 @@
         guards = [*self.guards(), Guard(OPEN + ref, work.stamp)]
         for number, indices in list(parts.items()):
             row = progress_of(work, number)
-            await self.state.multi(guards, [Put(f"{OPEN}{ref}/{number}", row)])
+            await self.state.multi(guards, [Put(progress_key(ref, self.number, number), row)])
             self.block.stored(work, indices)
 
     async def _finish(self, work: Work) -> None:
         ref = work.job.ref
         indices = list(work.unstored)
         final = Final("done", work.job.tasks)
-        numbers = range(-(-work.job.tasks // STRETCH))
-        drops = [Drop(f"{OPEN}{ref}/{n}") for n in numbers]
+        drops = [
+            Drop(progress_key(ref, block, stretch))
+            for block in range(self.settings.operator.blocks)
+            for stretch in range(stretch_count(work.job.tasks))
+        ]
+        if self.shared:
+            drops.insert(0, Drop(LEASE + ref))
         room = self.settings.facts.state.txn_ops - 2
         try:
             await self.state.multi(
@@ -415,7 +586,7 @@
     def _push_all(self, now: int) -> None:
         """Send what can't wait for the next report straight to the workers."""
         for machine in self.block.machines.values():
-            if machine.name in self.pushing or not machine.attempts:
+            if machine.name in self.pushing or not machine.attempts or now < machine.quiet_until:
                 continue
             wishes, flown = self.block.direct(machine, now)
             if wishes:
@@ -438,8 +609,8 @@
         finally:
             self.pushing.discard(machine.name)
             self.block.landed(flown, executed)
-            if executed is not True:
-                await asyncio.sleep(0.5)
+            if executed is not True:  # its reports still reach us, if it lives
+                machine.quiet_until = now_us() + 2 * US
             self.wake.set()
 
     async def _rounds(self) -> None:
@@ -449,7 +620,7 @@
             self.wake.set()
             if self.acts:
                 puts: list[Put | Drop] = [
-                    Put(TEAM + team, self.market.record(team, self.block.works))
+                    Put(f"{TEAM}{team}/{self.number}", self.market.record(team, self.block.works))
                     for team in self.market.budgets
                 ]
                 most = self.settings.facts.state.txn_ops
@@ -461,6 +632,14 @@
         await self.state.multi(self.guards(), puts)
 
 
+def splittable(job: Job, block: Block) -> bool:
+    """May several blocks run tasks of the job? Not if its tasks, or its team's, must be counted
+    together at every instant."""
+    team = block.teams.get(job.team, Limits())
+    counted = team.cpus_max or team.gpus_max or team.cpus or team.gpus
+    return not (job.gang or job.one_zone or job.apart or counted)
+
+
 def limits_of(settings: Settings) -> dict[str, Limits]:
     return {t.name: Limits(t.cpus, t.gpus, t.cpus_max, t.gpus_max) for t in settings.facts.teams}
 
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -3,7 +3,8 @@
 An owner that can't renew its hold asks every other controller to promise not to put anybody in
 its place for a short span. Only one that has lost the state service too promises, so an owner
 that alone is cut off is replaced as usual. The span counts from when the owner asked, on its own
-clock; and a controller that has just started, and may have forgotten a promise, waits out the
+clock, and only prolongs a right that has not ended yet: once it has, another may own the block.
+A controller that has just started, and may have forgotten a promise, waits out the
 longest possible one before it replaces an owner whose hold ran out (see Membership).
 """
 
@@ -32,6 +33,7 @@
         self.protocol: FrameProtocol | None = None
         self.asked: dict[int, int] = {}  # when each question was sent
         self.promised_until = 0
+        self.promised_life = ""  # a promise to an earlier life of ours is worth nothing
         self.connecting = False
 
     async def ask(self, span_us: int) -> None:
@@ -73,8 +75,12 @@
         if not isinstance(message, Promise) or message.life != self.hub.member.life:
             return
         sent = self.asked.pop(message.seq, None)
+        if now_us() >= self.hub.member.right_until:
+            return  # promises prolong a right; they can't bring back one that somebody may have
         if sent is not None and message.name == self.peer.member and message.span_us > 0:
             until = sent + message.span_us - message.span_us // 500 - 20_000
+            if self.promised_life != message.life:
+                self.promised_life, self.promised_until = message.life, 0
             self.promised_until = max(self.promised_until, until)
             self.hub.count()
 
@@ -118,13 +124,12 @@
     def count(self) -> None:
         """Extend our right to the earliest end among all peers' promises: one that has not
         promised may replace us."""
-        if self.links:
+        life = self.member.life
+        if self.links and all(link.promised_life == life for link in self.links):
             self.member.vouched_until = min(link.promised_until for link in self.links)
 
     async def ask(self) -> None:
         """While our hold can't be renewed, and we own something, ask for promises."""
-        for link in self.links:
-            link.promised_until = 0
         while True:
             await asyncio.sleep(self.member.ttl_us / 10e6)
             if not self.member.stamp or not self.member.lonely or not self.member.owns_any:
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -17,6 +17,7 @@
 
 OPEN = "open/"
 OVER = "over/"
+LEASE = "lease/"
 HIRE = "hire/"
 MACHINE = "mach/"
 TEAM = "team/"
@@ -36,6 +37,15 @@
     running: int = 0
 
 
+class Lease(Struct):
+    """Tasks by block: (first, end, block)."""
+
+    parts: list[tuple[int, int, int]]
+
+    def of(self, block: int) -> list[tuple[int, int]]:
+        return [(low, high) for low, high, owner in self.parts if owner == block]
+
+
 class Final(Struct):
     stage: str
     done: int
@@ -48,6 +58,7 @@
     number: int
     at: int
     names: list[str] | None = None
+    block: int = 0
 
 
 class StoredMachine(Struct):
@@ -56,6 +67,7 @@
     spot: bool
     address: str
     at: int
+    block: int = 0
 
 
 def job_of(sent: Submission) -> Job:
@@ -88,23 +100,31 @@
 
 def progress_of(work: Work, stretch: int) -> Progress:
     low, high = stretch * STRETCH // 8, (stretch + 1) * STRETCH // 8
-    done = bytes(work.done[low:high])
+    done = bytes(work.own[low:high])
     running = sum(1 for a in work.live.values() if a.stage == "running") if stretch == 0 else 0
     return Progress(done, sum(byte.bit_count() for byte in done), running)
 
 
-def load_progress(work: Work, stretch: int, progress: Progress) -> None:
+def load_progress(work: Work, stretch: int, progress: Progress, own: bool) -> None:
+    """Take in stored results, our block's own or another's."""
     low = stretch * STRETCH // 8
     for offset, byte in enumerate(progress.done):
         if byte:
             for bit in range(8):
                 if byte >> bit & 1:
-                    work.finish((low + offset) * 8 + bit)
-    work.unstored.clear()
-    work.finished_recent = 0
+                    work.note((low + offset) * 8 + bit, own)
+
+
+def split_open(key: str) -> tuple[str, tuple[int, int] | None]:
+    """The job, and the block and stretch (None: the job itself), of a key under `open/`."""
+    ref, _, tail = key[len(OPEN) :].partition("/")
+    block, _, stretch = tail.partition(".")
+    return ref, (int(block), int(stretch)) if block.isdigit() and stretch.isdigit() else None
+
+
+def progress_key(ref: str, block: int, stretch: int) -> str:
+    return f"{OPEN}{ref}/{block}.{stretch}"
 
 
-def split_open(key: str) -> tuple[str, int | None]:
-    """The job and the stretch (None: the job itself) of a key under `open/`."""
-    ref, _, number = key[len(OPEN) :].partition("/")
-    return ref, int(number) if number.isdigit() else None
+def stretch_count(tasks: int) -> int:
+    return -(-tasks // STRETCH)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -195,7 +195,9 @@
     def _start_hire(self, offer: Offer, count: int) -> None:
         self.sequence += 1
         name = f"h-{self.owner.grant.baton}-{self.sequence}"
-        stored = StoredHire(offer.kind, offer.zone, offer.spot, min(count, 50), wall_us())
+        stored = StoredHire(
+            offer.kind, offer.zone, offer.spot, min(count, 50), wall_us(), None, self.owner.number
+        )
         self.owner.spawn(self._hire(name, stored, fresh=True), f"hire {name}")
 
     async def _hire(self, name: str, stored: StoredHire, fresh: bool = False) -> None:
@@ -288,6 +290,8 @@
             if one.name in block.gone:
                 continue
             machine = block.machines.get(one.name)
+            if machine is None and (self.owner.foreign(one.name) or self._not_yet(one)):
+                continue
             if machine is None:
                 kind = self.owner.kinds.get(one.type) or placeholder_kind(one.type)
                 machine = Machine(one.name, kind, one.zone, one.spot, now)
@@ -298,6 +302,11 @@
                 log.info("machine %s has failed", one.name)
                 machine.deleting = True
 
+    def _not_yet(self, one: Rented) -> bool:
+        """With several blocks, an unexpected machine may just not be written down yet by the
+        block that hired it; later it is the first block's to take in."""
+        return self.owner.shared and (self.owner.number != 0 or one.age_s < 30)
+
     async def _tidy_hires(self) -> None:
         """Records of hires whose machines are all up or gone are not needed any more."""
         block = self.owner.block
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -222,3 +222,36 @@
         world.verdict()
 
     play(story)
+
+
+def test_several_blocks_share_an_array_and_every_controller_owns_one() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, operator={"blocks": 3})
+        await world.start()
+        await world.submit(world.job(1, Pieces=24, RunS=6.0))
+        await world.submit(world.job(2, Pieces=3, Shape="group", Cores=2.0, RunS=6.0))
+        await world.submit(world.job(3, Pieces=4, Apart=True))
+        await world.until(lambda: len({world.owner(b) for b in range(3)} - {None}) == 3)
+        await world.until_done("req-000001", "req-000002", "req-000003")
+        world.verdict()
+
+    play(story)
+
+
+def test_a_crashed_controllers_block_is_served_by_another_and_comes_back() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, operator={"blocks": 3})
+        await world.start()
+        await world.until(lambda: len({world.owner(b) for b in range(3)} - {None}) == 3)
+        await world.submit(world.job(1, Pieces=24, RunS=25.0))
+        await world.until(lambda: len(world.on("req-000001")) >= 12)
+        victim = world.owner(1)
+        assert victim is not None
+        world.crash(victim)
+        await world.until(lambda: world.owner(1) not in (None, victim), seconds=8)
+        world.boot(victim)
+        await world.until(lambda: len({world.owner(b) for b in range(3)} - {None}) == 3)
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
