A block that was handed back is never forgotten by its former owner

Cause: the watch could tell of the hand-back before the answer to it came; the record was then dropped from the picture and the next lease was guarded on there being none, for ever.

--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -234,10 +234,16 @@
                 self.cluster.loads[int(key.removeprefix("c/load/"))] = load
             elif key.startswith("c/block/"):
                 grant = msgspec.json.decode(raw, type=Grant)
-                self.cluster.blocks[int(key.removeprefix("c/block/"))] = (grant, stamp)
+                self._note_block(int(key.removeprefix("c/block/")), grant, stamp)
         except (msgspec.DecodeError, ValueError) as fault:
             log.error("record %s can't be read: %s", key, fault)
 
+    def _note_block(self, block: int, grant: Grant, stamp: int) -> None:
+        """The answer to our own write and the watch tell the same in any order."""
+        known = self.cluster.blocks.get(block)
+        if known is None or known[1] <= stamp:
+            self.cluster.blocks[block] = (grant, stamp)
+
     def _drop(self, key: str, stamp: int) -> None:
         if key == LEADER:
             self.cluster.leader = None
@@ -306,7 +312,7 @@
             guards, [Put(BATON, Counter(grant.baton)), Put(block_key(block), grant)]
         )
         cluster.baton = (Counter(grant.baton), stamp)
-        cluster.blocks[block] = (grant, stamp)
+        self._note_block(block, grant, stamp)
         log.info("block %d leased to %s with baton %d", block, grant.name, grant.baton)
         self.changed()
 
@@ -325,9 +331,10 @@
             guards.append(Guard(LEADER, self.cluster.leader[1]))
             apply.append(Drop(LEADER))
         try:
-            await self.state.multi(guards, apply)
+            stamp = await self.state.multi(guards, apply)
         except TROUBLE as fault:
             log.info("stepping down: %s", fault)
             return False
+        self._note_block(block, free, stamp)
         log.info("block %d handed back", block)
         return True
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -154,7 +154,6 @@
         if await self.member.step_down(number, leader_too):
             owner.stop()
             self.owners.pop(number, None)
-            self.member.cluster.blocks.pop(number, None)
 
     def _deaf(self, owner: Owner) -> bool:
         """All machines silent at once while other members live: more likely our own links."""
