--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -9,7 +9,7 @@
 
 from basaltlead.core.model import US, Job, Machine, Work, allowed
 
-MARGIN = 0.75  # of the time left: guesses are often wrong by half
+MARGIN = 0.85  # of the time left: guesses are often wrong by half
 
 
 def counts(
