--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -135,11 +135,7 @@
 
     def fit(job: Job, zones: set[str] | None) -> Bin | None:
         for one in bins:
-            if (
-                one.room.fits(job)
-                and (zones is None or one.zone in zones)
-                and allowed(job, one.kind.name, one.zone, one.offer.spot)
-            ):
+            if (zones is None or one.zone in zones) and keeps(one, one.room, job):
                 return one
         return None
 
@@ -173,6 +169,9 @@
         bins.append(one)
         return one
 
+    def keeps(one: Bin, room: Room, job: Job) -> bool:
+        return room.fits(job) and allowed(job, one.kind.name, one.zone, one.offer.spot)
+
     def pin(attempt: Attempt) -> bool:
         one = by_name.get(attempt.machine.name)
         if one is None or not one.room.fits(attempt.work.job):
@@ -211,9 +210,17 @@
                 tried = sorted({b.zone for b in bins} | {o.zone for o in offers})
                 zones = _best_zone(job, moved[job.ref], tried, bins, offers, kinds)
             place(job, moved[job.ref], zones, need.drain_us)
-        for spare in spares:
-            if spare.job.rank == rank:
-                place(spare.job, spare.count, None)
+        # A spare may be lent to lower ranks, which give way when it is needed: it takes nothing
+        # from them here. Counting it as taken hired machines for tasks that never had to move.
+        lent = {id(one): one.room.copy() for one in bins}
+        for spare in (spare for spare in spares if spare.job.rank == rank):
+            for _ in range(spare.count):
+                found = next((b for b in bins if keeps(b, lent[id(b)], spare.job)), None)
+                found = found or rent(spare.job, None, 1, float("inf"))
+                if found is None:
+                    break
+                lent.setdefault(id(found), found.room.copy()).take(spare.job)
+                found.used += 1
     needed = {b.machine.name for b in bins if b.machine is not None and b.used}
     filled = {
         b.machine.name
