--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -31,6 +31,7 @@
 
     job: Job
     count: int
+    images: frozenset[str] = frozenset()  # that such jobs have lately used
 
 
 class Bin:
@@ -172,6 +173,9 @@
     def keeps(one: Bin, room: Room, job: Job) -> bool:
         return room.fits(job) and allowed(job, one.kind.name, one.zone, one.offer.spot)
 
+    def held(one: Bin, images: frozenset[str]) -> int:
+        return 0 if one.machine is None else len(images & one.machine.images.keys())
+
     def pin(attempt: Attempt) -> bool:
         one = by_name.get(attempt.machine.name)
         if one is None or not one.room.fits(attempt.work.job):
@@ -215,7 +219,8 @@
         lent = {id(one): one.room.copy() for one in bins}
         for spare in (spare for spare in spares if spare.job.rank == rank):
             for _ in range(spare.count):
-                found = next((b for b in bins if keeps(b, lent[id(b)], spare.job)), None)
+                fitting = [b for b in bins if keeps(b, lent[id(b)], spare.job)]
+                found = max(fitting, key=lambda b: held(b, spare.images), default=None)
                 found = found or rent(spare.job, None, 1, float("inf"))
                 if found is None:
                     break
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -1,6 +1,7 @@
 """The owner of a block: loads it, answers its workers, starts its tasks, stores their results."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -50,6 +51,14 @@
     return Order(wish.verb, f"{wish.ref}/{wish.index}", wish.token, wish.grace_s)
 
 
+class Lane:
+    """What was lately seen of a class."""
+
+    def __init__(self, last: Job) -> None:
+        self.last = last
+        self.seen: deque[tuple[int, str]] = deque(maxlen=200)  # when, and with which image
+
+
 class Owner:
     """Lives from the grant of a block until it is lost; a new grant means a new Owner."""
 
@@ -88,7 +97,7 @@
         self.wake = asyncio.Event()
         self.pushing: set[str] = set()  # machines with direct orders under way
         self.heard_at = 0  # the last report of any machine
-        self.lanes: dict[str, tuple[Work, list[int]]] = {}  # the last job of a class, arrivals
+        self.lanes: dict[str, Lane] = {}
         self.on_loaded: Callable[[], None] = lambda: None
         self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
 
@@ -213,10 +222,9 @@
             if self.shared:
                 work.lease(self.leases[ref][0].of(self.number) if ref in self.leases else [])
             work.bid = self.market.first_bid(work, now)
-            seen = self.lanes.setdefault(work.job.lane, (work, []))[1]
-            seen.append(now - age)
-            del seen[:-200]
-            self.lanes[work.job.lane] = (work, seen)
+            lane = self.lanes.setdefault(work.job.lane, Lane(work.job))
+            lane.last = work.job
+            lane.seen.append((now - age, work.job.image))
             log.info("job %s (%s, %d tasks) taken up", ref, work.job.lane, work.job.tasks)
             self.wake.set()
         elif ref in self.block.works and (not self.loaded or part[0] != self.number):
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -90,8 +90,7 @@
             seen = self.owner.lanes.get(lane)
             if seen is None:
                 continue
-            work, arrivals = seen
-            job = work.job
+            job = seen.last
             suited = [k for k in self.owner.kinds.values() if k.holds(job)]
             if not suited:
                 continue
@@ -100,11 +99,10 @@
             if boot * 1.2 + fetch * US <= within:
                 continue
             window = 200 * US
-            recent = sum(1 for at in arrivals if now - at < window)
-            if not recent:
-                continue
-            expected = recent * boot / window
-            out.append(Spare(job, max(1, round(expected))))
+            recent = [image for at, image in seen.seen if now - at < window]
+            if recent:
+                expected = len(recent) * boot / window
+                out.append(Spare(job, max(1, round(expected)), frozenset(recent)))
         return out
 
     def expected(self, now: int) -> list[Machine]:
