--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -66,9 +66,8 @@
         budget = self.budgets.get(work.job.team)
         if budget is None:
             return self.terms.reserve
-        span = self.terms.refill_us
-        if work.job.due_us is not None:
-            span = max(self.terms.round_us, work.asked_at + work.job.due_us - now)
+        due = self.due_us(work)
+        span = self.terms.refill_us if due is None else max(self.terms.round_us, due - now)
         return ceiling(budget.left, span, self.terms.round_us)
 
     def round(self, block: Block, now: int) -> None:
@@ -84,8 +83,9 @@
             rate = work.finished_recent / (span / US)
             work.finished_recent = 0
             work.rate = work.rate * (1 - SMOOTH) + rate * SMOOTH
-            if work.job.due_us is not None:
-                left_s = max(1.0, (work.asked_at + work.job.due_us - now) / US)
+            due = self.due_us(work)
+            if due is not None:
+                left_s = max(1.0, (due - now) / US)
                 value, wanted = work.rate, work.remaining / left_s
             else:
                 value, wanted = float(len(work.live)), float(work.remaining)
