--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -752,7 +752,7 @@
         """For one task that fills a machine: where stopping others and fetching waste least."""
         job = work.job
         within = self.guaranteed(work)
-        best: tuple[float, tuple[int, int, int], float, str] | None = None
+        best: tuple[float, tuple[int, ...], float, str] | None = None
         chosen: tuple[Machine, list[Attempt]] | None = None
         for machine in suited:
             found = placement.victims(
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -17,14 +17,16 @@
     return {zone for zone in zones if held[zone] < job.zone_cap}
 
 
-def tier(job: Job, machine: Machine) -> tuple[int, int, int]:
-    """Lower is better. A machine the fleet does not need is left to empty; one that has the
-    image starts the task at once; one that has work stays rented anyway. A gang fills machines
-    and waits as a whole for the slowest fetch, so for it the image comes first."""
+def tier(job: Job, machine: Machine) -> tuple[int, int, int, int]:
+    """Lower is better. A machine the fleet does not need is left to empty; spot machines are
+    filled before ordinary ones, so that the dear ones empty first when there is less to do; one
+    that has the image starts the task at once; one that has work stays rented anyway. A gang
+    fills machines and waits as a whole for the slowest fetch: for it the image comes first."""
     image = 0 if job.image in machine.images else 1
     wanted = 0 if machine.wanted else 1
+    dear = 0 if machine.spot else 1
     busy = 0 if machine.attempts else 1
-    return (image, wanted, busy) if job.gang else (wanted, image, busy)
+    return (image, wanted, dear, busy) if job.gang else (wanted, dear, image, busy)
 
 
 def fetch_cost(job: Job, machine: Machine) -> float:
@@ -40,7 +42,7 @@
     """The machine for one task: least booked bids within the best tier (the paper's worst fit)."""
     job = work.job
     best: Machine | None = None
-    best_key: tuple[tuple[int, int, int], float, str] | None = None
+    best_key: tuple[tuple[int, ...], float, str] | None = None
     for machine in machines:
         if (
             machine.zone not in zones
