--- a/basaltlead/clients/cloud.py
+++ b/basaltlead/clients/cloud.py
@@ -14,7 +14,7 @@
 class Cloud:
     def __init__(self, address: str, rps: float) -> None:
         self.pool = Pool(address, limit=6)
-        self.budget = Budget(max(0.2, rps * 0.75), burst=max(1.0, rps))
+        self.budget = Budget(max(0.2, rps * 0.85), burst=max(1.0, rps * 1.5))
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", timeout_us: int = 4_000_000
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -71,10 +71,6 @@
         """Has the state service been silent for a while?"""
         return now_us() - self.contact_at > self.ttl_us // 3
 
-    @property
-    def owns_any(self) -> bool:
-        return any(self.owned(block) is not None for block in self.cluster.blocks)
-
     def promise(self, name: str, life: str, span_us: int) -> int:
         """Promise an owner not to put anybody in its place; 0 when we will not.
 
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -129,10 +129,12 @@
             self.member.vouched_until = min(link.promised_until for link in self.links)
 
     async def ask(self) -> None:
-        """While our hold can't be renewed, and we own something, ask for promises."""
+        """While our hold can't be renewed, ask for promises: an owner so that it may go on, the
+        others since a controller is as healthy as any while the state service is away for all.
+        The load balancer takes its time to trust one again that has called itself unhealthy."""
         while True:
             await asyncio.sleep(self.member.ttl_us / 10e6)
-            if not self.member.stamp or not self.member.lonely or not self.member.owns_any:
+            if not self.member.stamp or not self.member.lonely:
                 continue
             asking = [link.ask(self.member.ttl_us) for link in self.links]
             await asyncio.gather(*asking, return_exceptions=True)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -120,7 +120,13 @@
 
     async def _size(self) -> None:
         while True:
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(0.1)
+            try:
+                async with asyncio.timeout(0.4):
+                    await self.owner.arrived.wait()
+            except TimeoutError:
+                pass
+            self.owner.arrived.clear()
             if not self.owner.acts or not self.owner.kinds:
                 continue
             now = now_us()
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -25,6 +25,8 @@
         for _ in range(int((right + 5) * 10)):
             await asyncio.sleep(0.1)
             assert world.owner() == owner
+        for name in world.nodes:  # as healthy as any: nobody could do better
+            assert (await world.ask(name, "GET", "/healthz"))[0] == 200
         world.state.outage_over()
         await world.until_done("req-000001")
         assert world.referee.starts == starts
@@ -155,3 +157,17 @@
         world.verdict()
 
     play(story)
+
+
+def test_a_controller_that_alone_lost_the_state_service_calls_itself_unhealthy() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        await asyncio.sleep(2)
+        world.net.cut(world.host("node-2"), world.state.HOST)
+        await asyncio.sleep(world.parts["node-2"].member.ttl_us / 1e6 + 0.1)
+        assert (await world.ask("node-2", "GET", "/healthz"))[0] == 503
+        assert (await world.ask("node-0", "GET", "/healthz"))[0] == 200
+
+    play(story)
