--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -509,7 +509,7 @@
         for attempt in sorted(waiting, key=lambda a: -a.work.job.rank):
             if attempt.stage == "sent":
                 out.append(attempt)
-            elif room.fits(attempt.work.job) and not machine.has_rest(attempt.key):
+            elif room.fits(attempt.work.job) and not machine.busy_with(attempt.key):
                 room.take(attempt.work.job)
                 out.append(attempt)
         return out
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -212,8 +212,10 @@
         """A worker's report must fit into 64 KiB, and so must the tasks that it lists."""
         return len(self.attempts) + len(self.rest) >= MOST_TASKS
 
-    def has_rest(self, key: tuple[str, int]) -> bool:
-        return any(rest[:2] == key for rest in self.rest)
+    def busy_with(self, key: tuple[str, int]) -> bool:
+        """Is another attempt of the task still there? One that has ended does not count, not
+        even one whose order may arrive again: the worker knows its number while it lists it."""
+        return any(known[:2] == key and not rest.over for known, rest in self.rest.items())
 
     def keep_image(self, image: str, size_gb: float) -> None:
         """Note an image as the most recently used, as the worker's cache does."""
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -124,11 +124,11 @@
 
     @property
     def right_us(self) -> int:
-        """How long a hold lasts. Half a lease: when an owner is cut off, its workers give it up
+        """How long a hold lasts. A third of a lease: when an owner is lost, its workers give it up
         after 4 to 6 s, and find the next owner in place before their leases run out."""
         wished = self.operator.right_s
         if wished is None:
-            wished = self.facts.workers.lease_s / 2
+            wished = self.facts.workers.lease_s * 0.3
         return min(int(wished * US), self.ride_us)
 
 
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -187,6 +187,20 @@
     assert not work.live
 
 
+def test_a_refused_start_whose_order_may_arrive_again_does_not_keep_the_task_waiting() -> None:
+    """With a single machine such a task once waited for ever."""
+    story = Story()
+    work = story.submit()
+    _, flown = story.block.direct(story.block.machines["m-0"], story.now)
+    story.block.landed(flown, None)
+    first = story.attempt(work)
+    story.beat("m-0", listed(first, "ended", "full"))
+    story.now += 3 * US
+    story.block.plan(story.now)
+    assert story.attempt(work).token != first.token
+    assert story.beat("m-0", listed(first, "ended", "full")) == [("run", "req-000001/0")]
+
+
 def test_a_direct_start_that_was_refused_is_free_at_once() -> None:
     story = Story()
     work = story.submit()
