--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on `httptools` over `asyncio.Protocol`: server and client, no pipelining."""
 
 import asyncio
+import errno
 from collections.abc import Awaitable, Callable
 from urllib.parse import unquote
 
@@ -171,6 +172,23 @@
             self.transport.close()
 
 
+async def listen(
+    factory: Callable[[], asyncio.Protocol], address: str, backlog: int = 100
+) -> asyncio.Server:
+    """Listen, however long that takes: after a restart the port may be in use for a moment, and
+    a controller must not end for that."""
+    host, port = address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    while True:
+        try:
+            return await loop.create_server(factory, host, int(port), backlog=backlog)
+        except OSError as fault:
+            if fault.errno != errno.EADDRINUSE:
+                raise
+            log.error("%s is in use, trying again", address)
+            await asyncio.sleep(0.5)
+
+
 class Server:
     """A listening address and its connections, bounded in number."""
 
@@ -183,10 +201,7 @@
         self.listener: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
-        host, port = address.rsplit(":", 1)
-        self.listener = await self.loop.create_server(
-            lambda: ServerProtocol(self), host, int(port), backlog=256
-        )
+        self.listener = await listen(lambda: ServerProtocol(self), address, backlog=256)
         self.loop.call_later(5.0, self._sweep)
 
     def opened(self, connection: ServerProtocol) -> None:
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -16,6 +16,7 @@
 from basaltlead.clock import now_us
 from basaltlead.logs import Brake, log
 from basaltlead.membership import Membership
+from basaltlead.net.http import listen
 from basaltlead.net.netstring import FrameProtocol
 from basaltlead.settings import Peer
 from basaltlead.wire.peers import Ask, Message, Promise
@@ -104,9 +105,7 @@
             return None
 
     async def serve(self) -> None:
-        host, port = self.address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        await loop.create_server(self._accept, host, int(port))
+        await listen(self._accept, self.address)
 
     def _accept(self) -> FrameProtocol:
         protocol = FrameProtocol(self._received, self.open.discard)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -255,3 +255,17 @@
         world.verdict()
 
     play(story)
+
+
+def test_a_port_in_use_for_a_moment_ends_no_controller() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.net.taken.add(("10.0.0.2", 8081))
+        await world.start()
+        await asyncio.sleep(3)
+        assert (await world.ask("node-1", "GET", "/healthz"))[0] == 503
+        world.net.taken.clear()
+        await asyncio.sleep(3)
+        assert (await world.ask("node-1", "GET", "/healthz"))[0] == 200
+
+    play(story)
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextvars
+import errno
 import random
 import selectors
 from collections.abc import Callable, Coroutine
@@ -80,6 +81,7 @@
         self.loop = loop
         self.chance = chance
         self.listeners: dict[tuple[str, int], Callable[[], asyncio.Protocol]] = {}
+        self.taken: set[tuple[str, int]] = set()  # ports that somebody else uses
         self.cuts: set[frozenset[str]] = set()
         self.held: dict[frozenset[str], list[tuple[Transport, bytes | None]]] = {}
         self.order: dict[int, float] = {}
@@ -184,6 +186,8 @@
         return await self.net.connect(factory, host, port)
 
     async def create_server(self, factory: Any, host: Any = None, port: Any = None, **_: Any):  # type: ignore[override,no-untyped-def]
+        if (host, port) in self.net.taken:
+            raise OSError(errno.EADDRINUSE, "address in use")
         context = contextvars.copy_context()
 
         def make() -> asyncio.Protocol:
