--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -35,7 +35,7 @@
 
 
 class Bin:
-    __slots__ = ("added", "kind", "machine", "offer", "room", "used", "zone")
+    __slots__ = ("kind", "machine", "offer", "room", "used", "zone")
 
     def __init__(self, kind: Kind, zone: str, machine: Machine | None, offer: Offer) -> None:
         self.kind = kind
@@ -44,13 +44,11 @@
         self.offer = offer
         self.room = Room.of(kind)
         self.used = 0
-        self.added = 0  # of these, tasks that do not run here yet
 
 
 class Plan(Struct):
     hires: list[Offer]
     needed: set[str]  # names of machines with a use
-    filled: set[str]  # of these, those that should take more tasks; others are left to empty
 
 
 def unit_price(kind: Kind, spot: bool) -> float:
@@ -193,7 +191,6 @@
             while placed < count and one.room.fits(job):
                 one.room.take(job)
                 one.used += 1
-                one.added += 1
                 placed += 1
         return placed
 
@@ -227,12 +224,7 @@
                 lent.setdefault(id(found), found.room.copy()).take(spare.job)
                 found.used += 1
     needed = {b.machine.name for b in bins if b.machine is not None and b.used}
-    filled = {
-        b.machine.name
-        for b in bins
-        if b.machine is not None and (b.added or b.room.cpus < b.kind.cpus / 2)
-    }
-    return Plan(hires, needed, filled)
+    return Plan(hires, needed)
 
 
 def _best_zone(
