--- a/basaltlead/clients/state.py
+++ b/basaltlead/clients/state.py
@@ -29,6 +29,10 @@
     """The changes asked for are no longer kept."""
 
 
+# What a call may end in, short of an answer.
+TROUBLE = (Failed, Unavailable, Conflict, NoHold)
+
+
 class State:
     """Calls with a deadline each, inside this node's part of the limits.
 
--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -20,8 +20,6 @@
 
     lease_us: int
     report_us: int
-    gang_peer_us: int
-    gang_wait_us: int
 
     @property
     def lapse_us(self) -> int:
@@ -46,7 +44,6 @@
     token: int
     stage: str
     why: str | None
-    saved: bool | None
 
 
 class Message(Protocol):
--- /dev/null
+++ b/basaltlead/following.py
@@ -0,0 +1,42 @@
+"""Keeping a picture of the keys under a prefix like the state service has them."""
+
+from collections.abc import Callable
+
+from basaltlead.clients.base import Backoff
+from basaltlead.clients.state import TROUBLE, State, TooOld
+from basaltlead.clock import chance, now_us
+from basaltlead.logs import log
+from basaltlead.wire.state import Change, Row
+
+
+async def follow(
+    state: State,
+    prefix: str,
+    hold_ms: int,
+    load: Callable[[list[Row]], None],
+    take: Callable[[Change], None],
+    seen: Callable[[int, bool], None] = lambda asked, news: None,
+    since: int | None = None,
+) -> None:
+    """List, then watch, for ever: `load` gets all rows, `take` each change, and `seen` when a
+    good look was asked for and whether it brought news."""
+    backoff = Backoff(100_000, 1_000_000, chance)
+    while True:
+        try:
+            asked = now_us()
+            if since is None:
+                rows, since = await state.rows(prefix)
+                load(rows)
+                seen(asked, True)
+                asked = now_us()
+            changes = await state.changes(prefix, since, hold_ms)
+            for change in changes.log:
+                take(change)
+            since = max(since, changes.revision)
+            seen(asked, bool(changes.log))
+            backoff.reset()
+        except TooOld:
+            since = None
+        except TROUBLE as fault:
+            log.debug("following %s: %s", prefix, fault)
+            await backoff.rest()
--- a/basaltlead/leasing.py
+++ b/basaltlead/leasing.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import zlib
+from functools import partial
 
 import msgspec
 
-from basaltlead.clients.base import Backoff
-from basaltlead.clients.state import State, TooOld
+from basaltlead.clients.state import TROUBLE, State
 from basaltlead.core.block import Limits
 from basaltlead.core.leadership import LEADER
 from basaltlead.core.model import Job
+from basaltlead.following import follow
 from basaltlead.logs import log
-from basaltlead.membership import TROUBLE, Membership
+from basaltlead.membership import Membership
 from basaltlead.records import (
     HIRE,
     LEASE,
@@ -24,7 +25,7 @@
     job_of,
     split_open,
 )  # fmt: skip
-from basaltlead.wire.state import Guard, Put, Row
+from basaltlead.wire.state import Change, Guard, Put, Row
 
 
 def home_of(team: str, blocks: int) -> int:
@@ -70,26 +71,16 @@
 
     async def follow(self, prefix: str) -> None:
         """Keep one of our tables like the keys under a prefix."""
-        backoff = Backoff(100_000, 1_000_000, self.member.chance)
-        since: int | None = None
-        while True:
-            try:
-                if since is None:
-                    rows, since = await self.state.rows(prefix)
-                    self._load(prefix, rows)
-                changes = await self.state.changes(prefix, since, 4000)
-                for change in changes.log:
-                    if change.put is not None:
-                        self._put(prefix, change.put, change.value, change.stamp)
-                    elif change.drop is not None:
-                        self._drop(prefix, change.drop)
-                since = max(since, changes.revision)
-                backoff.reset()
-            except TooOld:
-                since = None
-            except TROUBLE as fault:
-                log.debug("following %s: %s", prefix, fault)
-                await backoff.rest()
+        await follow(
+            self.state, prefix, self.member.watch_ms,
+            partial(self._load, prefix), partial(self._take, prefix),
+        )  # fmt: skip
+
+    def _take(self, prefix: str, change: Change) -> None:
+        if change.put is not None:
+            self._put(prefix, change.put, change.value, change.stamp)
+        elif change.drop is not None:
+            self._drop(prefix, change.drop)
 
     def _load(self, prefix: str, rows: list[Row]) -> None:
         if prefix == OPEN:
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
-from basaltlead.clients.state import Conflict, NoHold, State, TooOld
+from basaltlead.clients.state import TROUBLE, Conflict, NoHold, State
 from basaltlead.clock import chance, now_us
 from basaltlead.core import leadership
 from basaltlead.core.leadership import (
@@ -21,11 +21,10 @@
     block_key,
     member_key,
 )  # fmt: skip
+from basaltlead.following import follow
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
-from basaltlead.wire.state import Drop, Guard, Put, Row
-
-TROUBLE = (Failed, Unavailable, Conflict, NoHold)
+from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 
 
 class Membership:
@@ -171,29 +170,18 @@
 
     async def watch(self) -> None:
         """Follow the keys of the cluster."""
-        backoff = Backoff(100_000, 2_000_000, self.chance)
-        since: int | None = None
-        while True:
-            try:
-                if since is None:
-                    rows, since = await self.state.rows(PREFIX)
-                    self._load(rows)
-                changes = await self.state.changes(PREFIX, since, self.watch_ms)
-                for change in changes.log:
-                    if change.put is not None:
-                        self._put(change.put, change.value, change.stamp)
-                    elif change.drop is not None:
-                        self._drop(change.drop, change.stamp)
-                since = max(since, changes.revision)
-                self.contact_at = now_us()
-                backoff.reset()
-                if changes.log:
-                    self._looked()
-            except TooOld:
-                since = None
-            except TROUBLE as fault:
-                log.debug("cluster watch: %s", fault)
-                await backoff.rest()
+        await follow(self.state, PREFIX, self.watch_ms, self._load, self._take, self._seen)
+
+    def _seen(self, asked: int, news: bool) -> None:
+        self.contact_at = now_us()
+        if news:
+            self._looked()
+
+    def _take(self, change: Change) -> None:
+        if change.put is not None:
+            self._put(change.put, change.value, change.stamp)
+        elif change.drop is not None:
+            self._drop(change.drop, change.stamp)
 
     def _looked(self) -> None:
         mine = self.cluster.members.get(self.name)
@@ -212,7 +200,6 @@
             self.cluster.members[self.name] = mine
         for row in rows:
             self._put(row.key, row.value, row.stamp)
-        self._looked()
 
     def _put(self, key: str, raw: msgspec.Raw, stamp: int) -> None:
         try:
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -10,7 +10,7 @@
 
 from basaltlead.clients.base import Backoff, Unavailable, encode
 from basaltlead.clients.cloud import Cloud, NoCapacity
-from basaltlead.clients.state import State
+from basaltlead.clients.state import TROUBLE, State
 from basaltlead.clock import now_us
 from basaltlead.core.fleet import Shop
 from basaltlead.core.leadership import Grant
@@ -19,7 +19,7 @@
 from basaltlead.frontdesk import FrontDesk, refusal
 from basaltlead.leasing import Leasing
 from basaltlead.logs import Brake, log
-from basaltlead.membership import TROUBLE, Membership
+from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response, Server
 from basaltlead.owner import Owner, limits_of
 from basaltlead.peers import Peers
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -8,13 +8,14 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable, encode
-from basaltlead.clients.state import Conflict, NoHold, State, TooOld
+from basaltlead.clients.state import TROUBLE, Conflict, NoHold, State
 from basaltlead.clients.workers import Workers
 from basaltlead.clock import now_us, wall_us
 from basaltlead.core.block import Block, Limits, Timing, Wish
 from basaltlead.core.leadership import Grant, Load, block_key, load_key
 from basaltlead.core.market import Market, TeamRecord
 from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Work
+from basaltlead.following import follow
 from basaltlead.logs import log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Response
@@ -43,7 +44,6 @@
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 from basaltlead.wire.workers import Command, Order, Orders, Report
 
-TROUBLE = (Failed, Unavailable, Conflict, NoHold)
 FLUSH_US = 2 * US  # results of unfinished jobs wait this long: their workers still keep them
 
 
@@ -75,10 +75,7 @@
         self.market = market
         self.kinds = kinds
         w = settings.facts.workers
-        timing = Timing(
-            int(w.lease_s * US), int(w.report_s * US),
-            int(w.gang_peer_s * US), int(w.gang_wait_s * US),
-        )  # fmt: skip
+        timing = Timing(int(w.lease_s * US), int(w.report_s * US))
         self.block = Block(grant.baton, stamp, now_us(), timing, limits_of(settings))
         self.block.log = lambda text: log.info("%s", text)
         self.workers = Workers()
@@ -194,8 +191,7 @@
             hire = msgspec.json.decode(row.value, type=StoredHire)
             if hire.block == self.number:
                 self.hires[row.key[len(HIRE) :]] = hire
-        for row in leases:
-            self._take_lease(row.key, row.value, row.stamp)
+        self._load_leases(leases)
         for row in teams:
             team, _, number = row.key[len(TEAM) :].rpartition("/")
             if number == str(self.number):
@@ -237,25 +233,12 @@
 
     async def _watch(self, since: int) -> None:
         """Follow the open jobs: new ones, and those that are cancelled."""
-        backoff = Backoff(100_000, 1_000_000, self.member.chance)
-        while True:
-            asked = now_us()
-            try:
-                changes = await self.state.changes(OPEN, since, self.member.watch_ms)
-                for change in changes.log:
-                    self._change(change)
-                since = max(since, changes.revision)
-                self.watched_at = asked
-                backoff.reset()
-            except TooOld:
-                try:
-                    since = await self._relist()
-                except TROUBLE as fault:
-                    log.info("open jobs: %s", fault)
-                    await backoff.rest()
-            except TROUBLE as fault:
-                log.debug("open jobs: %s", fault)
-                await backoff.rest()
+        await follow(
+            self.state, OPEN, self.member.watch_ms, self._relist, self._change, self._seen, since
+        )  # fmt: skip
+
+    def _seen(self, asked: int, news: bool) -> None:
+        self.watched_at = asked
 
     def _change(self, change: Change) -> None:
         if change.put is not None:
@@ -265,16 +248,12 @@
             if part is None:
                 self.close(ref)
 
-    async def _relist(self) -> int:
-        asked = now_us()
-        rows, revision = await self.state.rows(OPEN)
+    def _relist(self, rows: list[Row]) -> None:
         seen = {split_open(row.key)[0] for row in rows}
         for row in rows:
             self._take_open(row.key, row.value, row.stamp, now_us())
         for ref in [ref for ref in self.block.works if ref not in seen]:
             self.close(ref)
-        self.watched_at = asked
-        return revision
 
     def close(self, ref: str) -> None:
         if ref in self.block.works:
@@ -336,27 +315,20 @@
 
     async def _watch_leases(self) -> None:
         """Follow which of the jobs' tasks are ours to start."""
-        backoff = Backoff(100_000, 1_000_000, self.member.chance)
-        while True:
-            try:
-                changes = await self.state.changes(LEASE, self.leases_since, self.member.watch_ms)
-                for change in changes.log:
-                    if change.put is not None:
-                        self._take_lease(change.put, change.value, change.stamp)
-                    elif change.drop is not None:
-                        self.leases.pop(change.drop[len(LEASE) :], None)
-                self.leases_since = max(self.leases_since, changes.revision)
-                backoff.reset()
-            except TooOld:
-                try:
-                    rows, self.leases_since = await self.state.rows(LEASE)
-                    for row in rows:
-                        self._take_lease(row.key, row.value, row.stamp)
-                except TROUBLE:
-                    await backoff.rest()
-            except TROUBLE as fault:
-                log.debug("leases: %s", fault)
-                await backoff.rest()
+        await follow(
+            self.state, LEASE, self.member.watch_ms, self._load_leases, self._change_lease,
+            since=self.leases_since,
+        )  # fmt: skip
+
+    def _load_leases(self, rows: list[Row]) -> None:
+        for row in rows:
+            self._take_lease(row.key, row.value, row.stamp)
+
+    def _change_lease(self, change: Change) -> None:
+        if change.put is not None:
+            self._take_lease(change.put, change.value, change.stamp)
+        elif change.drop is not None:
+            self.leases.pop(change.drop[len(LEASE) :], None)
 
     async def give(self, work: Work, to: int) -> None:
         """Hand the later half of a job's unstarted tasks to another block.
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -4,7 +4,7 @@
 
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.cloud import Cloud, NoCapacity
-from basaltlead.clients.state import Conflict, NoHold
+from basaltlead.clients.state import TROUBLE, Conflict, NoHold
 from basaltlead.clock import now_us, wall_us
 from basaltlead.core import demand, fleet
 from basaltlead.core.fleet import Need, Offer, Shop, Spare
@@ -18,7 +18,6 @@
 from basaltlead.wire.cloud import Hire, Rented
 from basaltlead.wire.state import Drop, Put
 
-TROUBLE = (Failed, Unavailable, Conflict, NoHold)
 MOST_HIRING = 6  # hires in progress
 MOST_NAMES = 100  # the cloud deletes that many at once
 MINIMUM_US = 60 * US  # what a machine costs at least
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -5,7 +5,7 @@
 from basaltlead.wire.workers import Listed, Report
 
 KIND = Kind("k", 4.0, 0.0, 16.0, 1.0, 0.5, 5 * US, 50.0, 1.0, ("a", "b"))
-TIMING = Timing(10 * US, US, 4 * US, 40 * US)
+TIMING = Timing(10 * US, US)
 
 
 def a_job(number: int = 1, **fields: object) -> Job:
