--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -78,7 +78,7 @@
         """
         member = self.cluster.members.get(name)
         replaced = bool(self.cluster.members) and (member is None or member[0].life != life)
-        if not self.lonely or replaced or span_us <= 0:
+        if not self.lonely or replaced or not life or span_us <= 0:
             return 0
         span = min(span_us, self.ttl_us)
         now = now_us()
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -221,8 +221,12 @@
         if path == "/healthz":
             if request.method != "GET":
                 return refusal(405, "use GET")
-            healthy = self.member.acts and bool(self.kinds)
-            return Response(200, b"{}") if healthy else refusal(503, "not ready")
+            # While the state service is away for all, a controller that calls itself unhealthy
+            # helps nobody, and the load balancer would be slow to trust it again.
+            healthy = self.member.acts or self.peers.nobody_better()
+            if healthy and self.kinds:
+                return Response(200, b"{}")
+            return refusal(503, "not ready")
         if path == "/api/jobs" or path.startswith("/api/jobs/"):
             return self.desk.handle(request)
         return refusal(404, "no such path")
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -35,6 +35,8 @@
         self.asked: dict[int, int] = {}  # when each question was sent
         self.promised_until = 0
         self.promised_life = ""  # a promise to an earlier life of ours is worth nothing
+        self.heard_at = 0  # the last answer, and what it said of the state service
+        self.lonely = False
         self.connecting = False
 
     async def ask(self, span_us: int) -> None:
@@ -73,12 +75,15 @@
 
     def _received(self, protocol: FrameProtocol, body: bytes) -> None:
         message = self.hub.read(body)
-        if not isinstance(message, Promise) or message.life != self.hub.member.life:
+        if not isinstance(message, Promise) or message.name != self.peer.member:
+            return
+        self.heard_at, self.lonely = now_us(), message.lonely
+        if message.life != self.hub.member.life or not self.hub.member.stamp:
             return
         sent = self.asked.pop(message.seq, None)
         if now_us() >= self.hub.member.right_until:
             return  # promises prolong a right; they can't bring back one that somebody may have
-        if sent is not None and message.name == self.peer.member and message.span_us > 0:
+        if sent is not None and message.span_us > 0:
             until = sent + message.span_us - message.span_us // 500 - 20_000
             if self.promised_life != message.life:
                 self.promised_life, self.promised_until = message.life, 0
@@ -118,7 +123,15 @@
         message = self.read(body)
         if isinstance(message, Ask) and message.name in self.names:
             span = self.member.promise(message.name, message.life, message.span_us)
-            protocol.send(encode(Promise(message.seq, self.member.name, message.life, span)))
+            lonely = self.member.lonely
+            answer = Promise(message.seq, self.member.name, message.life, span, lonely)
+            protocol.send(encode(answer))
+
+    def nobody_better(self) -> bool:
+        """Do others say that they have lost the state service too, and nobody that it has not?"""
+        recent = now_us() - self.member.ttl_us
+        heard = [link.lonely for link in self.links if link.heard_at > recent]
+        return bool(heard) and all(heard)
 
     def count(self) -> None:
         """Extend our right to the earliest end among all peers' promises: one that has not
@@ -133,7 +146,7 @@
         The load balancer takes its time to trust one again that has called itself unhealthy."""
         while True:
             await asyncio.sleep(self.member.ttl_us / 10e6)
-            if not self.member.stamp or not self.member.lonely:
+            if not self.member.lonely:
                 continue
             asking = [link.ask(self.member.ttl_us) for link in self.links]
             await asyncio.gather(*asking, return_exceptions=True)
--- a/basaltlead/wire/peers.py
+++ b/basaltlead/wire/peers.py
@@ -19,6 +19,7 @@
     name: str
     life: str
     span_us: int
+    lonely: bool = False  # has the answering controller lost the state service too?
 
 
 Message = Ask | Promise
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -171,3 +171,27 @@
         assert (await world.ask("node-0", "GET", "/healthz"))[0] == 200
 
     play(story)
+
+
+def test_controllers_that_start_during_an_outage_are_as_healthy_as_any() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        world.state.down = True
+        for name in world.nodes:
+            world.crash(name)
+        await asyncio.sleep(1)
+        for name in world.nodes:
+            world.boot(name)
+        await asyncio.sleep(3)
+        for name in world.nodes:
+            assert (await world.ask(name, "GET", "/healthz"))[0] == 200
+            assert (await world.ask(name, "GET", "/api/jobs/req-000001"))[0] == 503
+        world.state.outage_over()
+        await world.until(lambda: world.owner() is not None)
+        assert await world.submit(world.job(1)) == 201
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
