--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -588,7 +588,8 @@
 
     def order(self, now: int) -> list[Work]:
         """Open jobs with waiting tasks, in the order in which they are started: guarantees,
-        rank, the team furthest below its share, the higher bid, the older."""
+        rank, gangs (whole, before arrays take the room), the team furthest below its share, the
+        higher bid, the older."""
         shares: dict[str, float] = {}
         for work in self.works.values():
             if not work.closed:
@@ -604,7 +605,8 @@
         return sorted(
             ready,
             key=lambda w: (
-                not self.guaranteed(w), -w.job.rank, excess(w.job.team), -w.bid, w.asked_at,
+                not self.guaranteed(w), -w.job.rank, not w.job.gang, excess(w.job.team),
+                -w.bid, w.asked_at,
             ),
         )  # fmt: skip
 
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -334,3 +334,25 @@
     report.recall_s = 7.0
     wishes = story.block.beat(report, story.now)
     assert wishes and wishes[0].verb == "halt" and wishes[0].grace_s == 5.0
+
+
+def test_a_guarantee_is_honoured_against_work_beyond_another_teams_own() -> None:
+    story = Story(limits={"red": Limits(cpus=3.0), "blue": Limits(cpus=1.0)})
+    blue = story.submit(1, team="blue", tasks=4)
+    for attempt in blue.live.values():
+        attempt.stage = "running"
+    red = story.submit(2, tasks=1, cpus=2.0)
+    assert len(red.live) == 1
+    assert sum(1 for a in blue.live.values() if a.grace is not None) == 2
+    late = story.submit(3, team="blue", tasks=1, cpus=1.0)
+    assert not late.live  # beyond its guarantee, blue takes nothing from red
+
+
+def test_waiting_gangs_are_placed_before_arrays_of_their_rank() -> None:
+    story = Story()
+    filler = story.submit(1, tasks=4)
+    array, gang = story.submit(2, tasks=4), story.submit(3, gang=True, tasks=2, cpus=2.0)
+    story.block.close_job("req-000001", story.now)
+    assert not filler.live
+    story.block.plan(story.now)
+    assert len(gang.live) == 2 and not array.live
