--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -92,7 +92,6 @@
         self.flushed_at: dict[str, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
-        self.arrived = asyncio.Event()  # a new job: the fleet's size is looked at once more
         self.pushing: set[str] = set()  # machines with direct orders under way
         self.heard_at = 0  # the last report of any machine
         self.lanes: dict[str, Lane] = {}
@@ -222,7 +221,6 @@
             lane = self.lanes.setdefault(work.job.lane, Lane(work.job))
             lane.last = work.job
             lane.seen.append((now - age, work.job.image))
-            self.arrived.set()
             log.info("job %s (%s, %d tasks) taken up", ref, work.job.lane, work.job.tasks)
             self.wake.set()
         elif ref in self.block.works and (not self.loaded or part[0] != self.number):
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -119,13 +119,7 @@
 
     async def _size(self) -> None:
         while True:
-            await asyncio.sleep(0.1)
-            try:
-                async with asyncio.timeout(0.4):
-                    await self.owner.arrived.wait()
-            except TimeoutError:
-                pass
-            self.owner.arrived.clear()
+            await asyncio.sleep(0.5)
             if not self.owner.acts or not self.owner.kinds:
                 continue
             now = now_us()
