One piece each for waiting, for what must be counted together, and for openings

Read over once more: the rule which jobs stay whole in one block stood twice, in the leader's leasing and in the owner's balancing; now Job.whole and Limits.counted serve both. The wait for an event with a limit stood three times, the search for room by stopping others twice, the fetch time three times, the age by the time of day twice. Work.token was kept and never read. No behaviour is meant to change; checks and tests as before.

--- a/basaltlead/clock.py
+++ b/basaltlead/clock.py
@@ -20,6 +20,11 @@
     return _wall() // 1000
 
 
+def age_us(at: int) -> int:
+    """How long ago a time of day was, which may be off a little."""
+    return max(0, wall_us() - at)
+
+
 def use(steady: Callable[[], int], wall: Callable[[], int], seed: int) -> None:
     """Take other sources, in nanoseconds."""
     global _steady, _wall
--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -4,7 +4,7 @@
 then drops every order of an earlier owner, so its list is complete but for our own orders.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 from msgspec import Struct
@@ -36,6 +36,11 @@
     cpus_max: float = 0.0
     gpus_max: float = 0.0
 
+    @property
+    def counted(self) -> bool:
+        """Must the tasks of the team be counted together at every instant?"""
+        return bool(self.cpus or self.gpus or self.cpus_max or self.gpus_max)
+
 
 class Seen(Protocol):
     """A task in a worker's report."""
@@ -432,7 +437,6 @@
             attempt = Attempt(work, index, machine, seen.token, now)
             attempt.stage = "sent"
             self._enlist(attempt)
-            work.token = max(work.token, seen.token)
             self._progress(attempt, seen, now)
 
     # Orders
@@ -686,10 +690,10 @@
             chosen = gangs.place(work, suited, rooms) or self._make_gang_room(work, suited, now)
         if chosen is None:
             return
-        work.token = self._token()
+        token = self._token()
         work.rewind()
         for index, machine in enumerate(chosen):
-            self.start(work, index, machine, work.token, now)
+            self.start(work, index, machine, token, now)
         for machine in chosen:
             rooms[machine.name] = machine.room(staying=True)
 
@@ -728,41 +732,40 @@
         used = self.team_used.get(victim.job.team, [0.0, 0.0])
         return used[0] > team.cpus + 1e-6 or used[1] > team.gpus + 1e-6
 
+    def _openings(
+        self, work: Work, suited: list[Machine], now: int
+    ) -> Iterator[tuple[float, Machine, list[Attempt]]]:
+        """Machines on which one task fits once others are stopped, those, and the loss."""
+        within = self.guaranteed(work)
+        for machine in suited:
+            found = placement.victims(
+                work.job, machine, now, lambda other: self._may_stop(work.job, within, other)
+            )
+            if found is not None:
+                yield found[0], machine, found[1]
+
     def _make_room(
         self, work: Work, suited: list[Machine], zones: set[str], now: int
     ) -> tuple[Machine, list[Attempt]] | None:
         """The machine on which stopping others of lower rank wastes least."""
-        job = work.job
-        within = self.guaranteed(work)
-        if job.rank < 2 and not within:
+        if work.job.rank < 2 and not self.guaranteed(work):
             return None  # ordinary work waits for what is rented for it
         best: tuple[float, str, Machine, list[Attempt]] | None = None
-        for machine in suited:
-            if machine.zone not in zones:
-                continue
-            found = placement.victims(
-                job, machine, now, lambda other: self._may_stop(job, within, other)
-            )
-            if found is not None and (best is None or (found[0], machine.name) < best[:2]):
-                best = (found[0], machine.name, machine, found[1])
+        for loss, machine, stops in self._openings(work, suited, now):
+            if machine.zone in zones and (best is None or (loss, machine.name) < best[:2]):
+                best = (loss, machine.name, machine, stops)
         return None if best is None else (best[2], best[3])
 
     def _cheapest(self, work: Work, suited: list[Machine], now: int) -> list[Machine] | None:
         """For one task that fills a machine: where stopping others and fetching waste least."""
         job = work.job
-        within = self.guaranteed(work)
         best: tuple[float, tuple[int, ...], float, str] | None = None
         chosen: tuple[Machine, list[Attempt]] | None = None
-        for machine in suited:
-            found = placement.victims(
-                job, machine, now, lambda other: self._may_stop(job, within, other)
-            )
-            if found is None:
-                continue
-            cost = found[0] + placement.fetch_cost(job, machine)
+        for loss, machine, stops in self._openings(work, suited, now):
+            cost = loss + placement.fetch_cost(job, machine)
             key = (cost, placement.tier(job, machine), machine.booked, machine.name)
             if best is None or key < best:
-                best, chosen = key, (machine, found[1])
+                best, chosen = key, (machine, stops)
         if chosen is None:
             return None
         for attempt in chosen[1]:
--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -39,7 +39,7 @@
             left = 2 * each
         rate = max(rate, total / max(left, each, US))
     for _, work in dated:
-        size = max(work.job.cpus, 0.1)
+        size = work.job.size
         live = sum(1 for a in work.live.values() if a.grace is None)
         count = min(work.remaining, max(live, int(rate / size + 0.999)))
         out[work.job.ref] = count
@@ -53,21 +53,22 @@
     for attempt in work.live.values():
         ran = now - attempt.ran_at if attempt.ran_at else 0
         left += max(each - ran, each // 4)
-    return left * max(work.job.cpus, 0.1)
+    return left * work.job.size
 
 
-def drain_us(
-    job: Job, works: Iterable[Work], machines: Iterable[Machine], now: int,
-    guess_us: Callable[[Work], int],
-) -> float:  # fmt: skip
-    """How long the machines that a job may use, booting ones included, need for all open arrays.
+def backlog(works: Iterable[Work], now: int, guess_us: Callable[[Work], int]) -> float:
+    """What is left of all open arrays, in CPU microseconds."""
+    return sum(load(work, guess_us(work), now) for work in works if not work.job.gang)
+
+
+def drain_us(job: Job, left: float, machines: Iterable[Machine]) -> float:
+    """How long the machines that a job may use, booting ones included, need for a backlog.
 
     A machine that boots for longer than this comes up when there is nothing left for it.
     """
-    backlog = sum(load(work, guess_us(work), now) for work in works if not work.job.gang)
     room = 0.0
     for machine in machines:
         if allowed(job, machine.kind.name, machine.zone, machine.spot):
             taken = sum(a.work.job.cpus for a in machine.attempts.values() if a.work.job.gang)
             room += machine.kind.cpus - taken
-    return backlog / room if room > 0 else float("inf")
+    return left / room if room > 0 else float("inf")
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -59,7 +59,7 @@
         known = self.old_bids.pop(work.job.ref, None)
         if known is not None:
             return known
-        wanted = self.price * max(work.job.cpus, 0.1) * work.remaining
+        wanted = self.price * work.job.size * work.remaining
         return min(max(self.terms.reserve, wanted), max(self.terms.reserve, self._most(work, now)))
 
     def _most(self, work: Work, now: int) -> float:
@@ -109,7 +109,7 @@
             Bid(
                 w.job.ref,
                 max(w.bid, self.terms.reserve),
-                max(w.job.cpus, 0.1),
+                w.job.size,
                 w.remaining if w.need is None else min(w.need, w.remaining),
             )
             for w in works
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -33,6 +33,16 @@
     mark_s: float
     due_us: int | None  # from its submission
 
+    @property
+    def whole(self) -> bool:
+        """Must all of its tasks be placed by one owner, who sees them together?"""
+        return self.gang or self.one_zone or self.apart
+
+    @property
+    def size(self) -> float:
+        """What one task counts as in CPUs; never nothing."""
+        return max(self.cpus, 0.1)
+
     @property
     def zone_cap(self) -> int:
         """How many of its tasks one zone may hold."""
@@ -53,6 +63,10 @@
     pull_gb_per_s: float
     zones: tuple[str, ...]
 
+    def fetch_s(self, job: Job) -> float:
+        """How long the job's image takes to arrive, if the machine fetches no other."""
+        return job.image_gb / max(self.pull_gb_per_s, 0.01)
+
     def holds(self, job: Job) -> int:
         """How many tasks of a job fit on an empty machine."""
         most = float(job.tasks)
@@ -243,7 +257,6 @@
         self.fresh = (0, 0)  # the range, and the task in it, from which none was looked at
         self.again: list[int] = []
         self.live: dict[int, Attempt] = {}
-        self.token = 0  # a gang's attempt
         self.started_at = 0
         self.closed = False  # cancelled or over: nothing may start
         self.hold_until = 0
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -33,7 +33,7 @@
     """CPU seconds that a task would stand idle for its image."""
     if job.image in machine.images:
         return 0.0
-    return job.image_gb / max(machine.kind.pull_gb_per_s, 0.01) * max(job.cpus, 0.1)
+    return machine.kind.fetch_s(job) * job.size
 
 
 def choose(
@@ -63,7 +63,7 @@
     if attempt.stage in ("planned", "sent", "fetching", "gathering"):
         return 0.0
     lost_us = now - attempt.ran_at if not job.mark_every_us else int(job.mark_s * 1e6)
-    return max(0, lost_us) / 1e6 * max(job.cpus, 0.1)
+    return max(0, lost_us) / 1e6 * job.size
 
 
 def victims(
--- a/basaltlead/leasing.py
+++ b/basaltlead/leasing.py
@@ -25,6 +25,7 @@
     job_of,
     split_open,
 )  # fmt: skip
+from basaltlead.waiting import woken
 from basaltlead.wire.state import Change, Guard, Put, Row
 
 
@@ -40,9 +41,9 @@
     block for all its jobs, jobs that must be placed as a whole go to the least loaded one, and
     other arrays are dealt out evenly."""
     least = min(range(blocks), key=lambda block: (loads.get(block, 0.0), block))
-    if limits.cpus_max or limits.gpus_max or limits.cpus or limits.gpus:
+    if limits.counted:
         return [(0, job.tasks, home_of(job.team, blocks))]
-    if job.gang or job.one_zone or job.apart or job.tasks < 2 * blocks:
+    if job.whole or job.tasks < 2 * blocks:
         return [(0, job.tasks, least)]
     cuts = [job.tasks * number // blocks for number in range(blocks + 1)]
     return [(cuts[block], cuts[block + 1], block) for block in range(blocks)]
@@ -125,12 +126,7 @@
     async def lease(self) -> None:
         """On the leader: a lease for every open job that has none."""
         while True:
-            try:
-                async with asyncio.timeout(0.5):
-                    await self.wake.wait()
-            except TimeoutError:
-                pass
-            self.wake.clear()
+            await woken(self.wake, 0.5)
             if not self.member.acts or not self.member.leads:
                 continue
             for ref, (job, stamp) in list(self.jobs.items()):
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -24,6 +24,7 @@
 from basaltlead.following import follow
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
+from basaltlead.waiting import woken
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 
 
@@ -238,12 +239,7 @@
     async def lead(self) -> None:
         """Claim the leader's key when nobody living has it; as leader, lease out the blocks."""
         while True:
-            try:
-                async with asyncio.timeout(0.5):
-                    await self.wake.wait()
-            except TimeoutError:
-                pass
-            self.wake.clear()
+            await woken(self.wake, 0.5)
             if not self.acts or self.name not in self.cluster.members:
                 continue
             try:
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -10,7 +10,7 @@
 from basaltlead.clients.base import Backoff, Unavailable, encode
 from basaltlead.clients.state import TROUBLE, Conflict, NoHold, State
 from basaltlead.clients.workers import Workers
-from basaltlead.clock import now_us, wall_us
+from basaltlead.clock import age_us, now_us, wall_us
 from basaltlead.core.block import Block, Limits, Timing, Wish
 from basaltlead.core.leadership import Grant, Load, block_key, load_key
 from basaltlead.core.market import Market, TeamRecord
@@ -41,6 +41,7 @@
     stretches,
 )  # fmt: skip
 from basaltlead.settings import Settings
+from basaltlead.waiting import woken
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 from basaltlead.wire.workers import Command, Order, Orders, Report
 
@@ -183,7 +184,7 @@
             kind = self.kinds.get(stored.kind) or placeholder_kind(stored.kind)
             machine = Machine(row.key[len(MACHINE) :], kind, stored.zone, stored.spot, now)
             machine.address = stored.address
-            machine.made_at = now - self._age(stored.at)
+            machine.made_at = now - age_us(stored.at)
             machine.answered_at = self.early.get(machine.name, block.took_at)
             block.load_machine(machine)
         for row in hires:
@@ -202,18 +203,13 @@
         )  # fmt: skip
         return revision
 
-    @staticmethod
-    def _age(at: int) -> int:
-        """Age of something by the time of day, which may be off a little."""
-        return max(0, wall_us() - at)
-
     def _take_open(self, key: str, raw: msgspec.Raw, stamp: int, now: int) -> None:
         ref, part = split_open(key)
         if part is None:
             stored = msgspec.json.decode(raw, type=StoredJob)
             if ref in self.block.works:
                 return
-            age = self._age(stored.at)
+            age = age_us(stored.at)
             work = self.block.add_job(job_of(stored.job), stamp, now, age)
             if self.shared:
                 work.lease(self.leases[ref][0].of(self.number) if ref in self.leases else [])
@@ -387,7 +383,7 @@
             works = [
                 w
                 for w in self.block.works.values()
-                if not w.closed and splittable(w.job, self.block)
+                if not w.closed and not w.job.whole and not self._counted(w.job.team)
             ]
             waiting = sum(w.waiting * w.job.cpus for w in works)
             free = sum(
@@ -406,6 +402,9 @@
                 to = max(others, key=lambda number: others[number].free)
                 await self.give(max(works, key=lambda w: w.waiting * w.job.cpus), to)
 
+    def _counted(self, team: str) -> bool:
+        return self.block.teams.get(team, Limits()).counted
+
     async def _store_load(self, load: Load) -> None:
         await self.state.multi(self.guards(), [Put(load_key(self.number), load)])
 
@@ -550,12 +549,7 @@
     async def _plan(self) -> None:
         """Bind waiting tasks to machines soon after anything has changed."""
         while True:
-            try:
-                async with asyncio.timeout(0.25):
-                    await self.wake.wait()
-            except TimeoutError:
-                pass
-            self.wake.clear()
+            await woken(self.wake, 0.25)
             now = now_us()
             self.block.tick(now)
             if self.acts:
@@ -612,14 +606,6 @@
         await self.state.multi(self.guards(), puts)
 
 
-def splittable(job: Job, block: Block) -> bool:
-    """May several blocks run tasks of the job? Not if its tasks, or its team's, must be counted
-    together at every instant."""
-    team = block.teams.get(job.team, Limits())
-    counted = team.cpus_max or team.gpus_max or team.cpus or team.gpus
-    return not (job.gang or job.one_zone or job.apart or counted)
-
-
 def limits_of(settings: Settings) -> dict[str, Limits]:
     return {t.name: Limits(t.cpus, t.gpus, t.cpus_max, t.gpus_max) for t in settings.facts.teams}
 
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -5,7 +5,7 @@
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.cloud import Cloud, NoCapacity
 from basaltlead.clients.state import TROUBLE, Conflict, NoHold
-from basaltlead.clock import now_us, wall_us
+from basaltlead.clock import age_us, now_us, wall_us
 from basaltlead.core import demand, fleet
 from basaltlead.core.fleet import Need, Offer, Shop, Spare
 from basaltlead.core.market import Market
@@ -64,23 +64,21 @@
             now,
             self.market.due_us,
             block.guess_us,
-            self._lead_us(0.0),
+            self._lead_us(),
         )
         machines = self.expected(now)
+        backlog = demand.backlog(works, now, block.guess_us)
         out = []
         for work in sorted(works, key=lambda w: (-w.job.rank, w.asked_at)):
             work.need = wanted[work.job.ref]
             need = Need(work, work.need)
             if not work.job.gang:
-                need.drain_us = demand.drain_us(work.job, works, machines, now, block.guess_us)
+                need.drain_us = demand.drain_us(work.job, backlog, machines)
             out.append(need)
         return out
 
-    def _lead_us(self, image_gb: float) -> int:
-        kinds = self.owner.kinds.values()
-        if not kinds:
-            return 0
-        return min(k.boot_us + int(image_gb / max(k.pull_gb_per_s, 0.01) * US) for k in kinds)
+    def _lead_us(self) -> int:
+        return min((kind.boot_us for kind in self.owner.kinds.values()), default=0)
 
     def spares(self, now: int) -> list[Spare]:
         """Room for jobs whose class is promised a start sooner than a machine boots."""
@@ -94,7 +92,7 @@
             if not suited:
                 continue
             boot = min(k.boot_us for k in suited)
-            fetch = min(job.image_gb / max(k.pull_gb_per_s, 0.01) for k in suited)
+            fetch = min(k.fetch_s(job) for k in suited)
             if boot * 1.2 + fetch * US <= within:
                 continue
             window = 200 * US
@@ -261,7 +259,7 @@
             if name in self.owner.block.gone:
                 continue
             machine = Machine(name, kind, stored.zone, stored.spot, now)
-            machine.made_at = now - max(0, wall_us() - stored.at)
+            machine.made_at = now - age_us(stored.at)
             self.owner.block.add_machine(machine)
 
     # Listing and deleting
