--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -609,6 +609,15 @@
         assert len(acting) <= 1, acting
         return acting[0] if acting else None
 
+    async def busy(self, pieces: int, run_s: float) -> str:
+        """Start, and have job 1 run with all its tasks; who owns the block."""
+        await self.start()
+        await self.submit(self.job(1, Pieces=pieces, RunS=run_s))
+        await self.until(lambda: len(self.on("req-000001")) == pieces)
+        owner = self.owner()
+        assert owner is not None
+        return owner
+
     def gang_complete(self, task: str, token: int) -> bool:
         ref = task.partition("/")[0]
         pieces = self.jobs[ref]["Pieces"]
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -15,11 +15,8 @@
 def test_an_outage_longer_than_a_right_is_ridden_through_on_promises() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=6, RunS=30.0))
-        await world.until(lambda: len(world.on("req-000001")) == 6)
-        owner, starts = world.owner(), world.referee.starts
-        assert owner is not None
+        owner = await world.busy(6, 30.0)
+        starts = world.referee.starts
         right = world.parts[owner].member.ttl_us / 1e6
         world.state.down = True
         for _ in range(int((right + 5) * 10)):
@@ -38,11 +35,7 @@
 def test_promises_end_when_a_cancellation_could_no_longer_be_kept() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=2, RunS=300.0))
-        await world.until(lambda: len(world.on("req-000001")) == 2)
-        owner = world.owner()
-        assert owner is not None
+        owner = await world.busy(2, 300.0)
         world.state.down = True
         await asyncio.sleep(world.parts[owner].settings.ride_us / 1e6 + 0.5)
         assert world.owner() is None
@@ -119,11 +112,7 @@
 def test_a_restarted_owner_replaces_itself_at_once() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=4, RunS=20.0))
-        await world.until(lambda: len(world.on("req-000001")) == 4)
-        owner = world.owner()
-        assert owner is not None
+        owner = await world.busy(4, 20.0)
         world.crash(owner)
         await asyncio.sleep(0.3)
         world.boot(owner)
@@ -140,11 +129,7 @@
 
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=4, RunS=60.0))
-        await world.until(lambda: len(world.on("req-000001")) == 4)
-        first = world.owner()
-        assert first is not None
+        first = await world.busy(4, 60.0)
         world.net.cut(world.host(first), world.state.HOST)
         await world.until(lambda: world.owner() not in (None, first), seconds=15)
         world.state.down = True
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -23,12 +23,8 @@
 def test_the_owner_crashes_and_its_tasks_live_on() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=6, RunS=30.0))
-        await world.until(lambda: len(world.on("req-000001")) == 6)
+        owner = await world.busy(6, 30.0)
         starts = world.referee.starts
-        owner = world.owner()
-        assert owner is not None
         world.crash(owner)
         await asyncio.sleep(1.0)
         world.boot(owner)
@@ -42,11 +38,7 @@
 def test_an_owner_that_no_longer_hears_its_machines_hands_over_before_their_leases_end() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=8, RunS=40.0))
-        await world.until(lambda: len(world.on("req-000001")) == 8)
-        first = world.owner()
-        assert first is not None
+        first = await world.busy(8, 40.0)
         world.isolate(first, state=False)  # it still reaches the state service
         await world.until(lambda: world.owner() not in (None, first), seconds=FakeWorker.LEASE)
         await world.until_done("req-000001")
@@ -59,11 +51,7 @@
 def test_a_cut_off_owner_stops_by_itself_and_nothing_runs_twice() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=8, RunS=20.0))
-        await world.until(lambda: len(world.on("req-000001")) == 8)
-        first = world.owner()
-        assert first is not None
+        first = await world.busy(8, 20.0)
         world.isolate(first)
         await world.until(lambda: world.owner() not in (None, first))
         await asyncio.sleep(5)
@@ -95,11 +83,7 @@
 def test_cancelled_means_gone_in_time_even_when_the_owner_can_not_hear_of_it() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=6, RunS=500.0))
-        await world.until(lambda: len(world.on("req-000001")) == 6)
-        owner = world.owner()
-        assert owner is not None
+        owner = await world.busy(6, 500.0)
         other = next(name for name in world.nodes if name != owner)
         world.net.cut(world.host(owner), world.state.HOST)
         assert await world.cancel("req-000001", other) == "withdrawn"
@@ -114,9 +98,7 @@
 def test_a_state_outage_stops_no_task_that_its_right_can_carry_over_it() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
-        await world.start()
-        await world.submit(world.job(1, Pieces=6, RunS=30.0))
-        await world.until(lambda: len(world.on("req-000001")) == 6)
+        await world.busy(6, 30.0)
         starts = world.referee.starts
         world.state.down = True
         await asyncio.sleep(8)
