A machine that doesn't hear us holds up nobody; late copies prove nothing

Reports that don't show our baton are answered for one lease only, so that a deaf machine or copies of a dead one's reports no longer keep older jobs waiting. A machine whose session ended although it was answered, or whose orders go unanswered, must prove that it hears before it gets work or counts as capacity, and is returned otherwise. Machines are met and recorded only once they show our baton.

--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -218,6 +218,8 @@
         were held up on their way prove nothing any more."""
         machine.lost = True
         machine.synced = False
+        self.doubt(machine, now)
+        machine.asked_at = 0
         machine.min_session = machine.session + 1 if machine.session else 0
         machine.images.clear()
         self._empty(machine, now)
@@ -233,7 +235,13 @@
     # Reports
 
     def beat(self, report: Message, now: int) -> list[Wish] | None:
-        """A report; the orders for its answer, or None when it must not be answered with 200."""
+        """A report; the orders for its answer, or None when it must not be answered with 200.
+
+        A report that does not show our baton may be a copy from long ago, or come from a machine
+        that our answers don't reach. It is answered, so that a live machine can show it next
+        time, but for one lease at most: after that the silence ends the machine's own lease, and
+        nothing waits for it any longer.
+        """
         machine = self.machines.get(report.machine)
         if machine is None or report.baton > self.baton:
             return None
@@ -241,6 +249,12 @@
             return None
         if (report.session, report.tick) <= (machine.session, machine.beat_tick):
             return []  # a late copy
+        if report.baton < self.baton:
+            machine.asked_at = machine.asked_at or now
+            if now - machine.asked_at > self.timing.lease_us:
+                return None
+            if machine.lost:
+                return []  # only what shows our baton proves that it is back
         if report.session > machine.session:
             self._new_session(machine, report.session, now)
         machine.beat_tick = report.tick
@@ -256,12 +270,28 @@
         elif newest:
             machine.recall_at = None
         if report.baton == self.baton:
+            if machine.asked_at:  # it did not show it before
+                machine.asked_at = 0
+                self.hears(machine)
+            if now - max(machine.session_at, machine.deaf_since) > self.timing.lapse_us:
+                self.hears(machine)  # else its lease, and with it its session, had ended
             self._apply(machine, report, now, newest=newest, settles=True)
             machine.tick = max(machine.tick, report.tick)
         self._drain(machine, now)
         machine.answered_at = now
         return self.orders(machine, now)
 
+    def hears(self, machine: Machine) -> None:
+        """Something proves that our orders reach it."""
+        if machine.deaf_since:
+            machine.deaf_since = 0
+            self.dirty = True
+
+    def doubt(self, machine: Machine, now: int) -> None:
+        """An order went unanswered, or its lease ran out although we answered: until something
+        proves that it hears us, nothing new is given to it, and nobody counts on it."""
+        machine.deaf_since = machine.deaf_since or now
+
     def answer(self, report: Message, now: int, flown: Iterable[Attempt] = ()) -> None:
         """The answer to direct orders. `flown` are the starts that it proves to be executed."""
         machine = self.machines.get(report.machine)
@@ -272,7 +302,10 @@
             return
         if report.session > machine.session:
             self._new_session(machine, report.session, now)
-        if report.session < machine.session or report.tick <= machine.tick:
+        if report.session < machine.session:
+            return
+        self.hears(machine)
+        if report.tick <= machine.tick:
             return
         if report.baton == self.baton:
             self._apply(machine, report, now, newest=True, settles=False)
@@ -286,7 +319,9 @@
                     self._remove(attempt, now)
             machine.rest.clear()
             machine.images.clear()
+            self.doubt(machine, now)
         machine.session = session
+        machine.session_at = now
         machine.min_session = max(machine.min_session, session)
         machine.tick = machine.beat_tick = 0
         machine.lost = False
@@ -306,6 +341,8 @@
                 continue
             attempt = machine.attempts.get((ref, index))
             if attempt is not None and attempt.token == seen.token:
+                if attempt.stage == "sent":
+                    self.hears(machine)
                 self._progress(attempt, seen, now)
             else:
                 self._stranger(machine, ref, index, seen, now)
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -114,7 +114,9 @@
             )
             for w in works
         ]
-        capacity = sum(m.kind.cpus for m in block.machines.values() if m.up and not m.lost)
+        capacity = sum(
+            m.kind.cpus for m in block.machines.values() if m.up and not m.lost and not m.deaf_since
+        )
         slots = clear(bids, capacity)
         self.price = price(bids, capacity)
         for work in works:
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -186,6 +186,9 @@
         self.beat_tick = 0  # of the newest report
         self.min_session = 0  # older sessions are over
         self.synced = False  # has shown that it knows our baton
+        self.asked_at = 0  # since when we have answered it without its showing our baton
+        self.session_at = 0  # the first report of its session
+        self.deaf_since = 0  # since when there is doubt whether our orders reach it; 0: none
         self.recorded = False  # stands in the state service: tasks may be started
         self.up = False
         self.lost = False
@@ -211,7 +214,8 @@
     def usable(self, now: int) -> bool:
         return (
             self.synced and self.recorded and not self.lost and not self.draining
-            and not self.deleting and self.recall_at is None and now >= self.avoid_until
+            and not self.deleting and not self.deaf_since
+            and self.recall_at is None and now >= self.avoid_until
         )  # fmt: skip
 
     def room(self, staying: bool) -> Room:
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -162,15 +162,11 @@
         now = now_us()
         report_us = owner.block.timing.report_us
         patience = max(3 * US, int(report_us * 2.5))
-        known = [
-            m for m in owner.block.machines.values()
-            if not m.deleting and (m.heard_at > now - 60 * US or m.name in owner.block.risky)
-        ]  # fmt: skip
-        if len(known) < 2:
-            return False
+        machines = owner.block.machines.values()
         if owner.heard_at:
-            return now - owner.heard_at > patience
-        return now - owner.block.took_at > 9 * US + report_us
+            known = sum(1 for m in machines if m.synced and not m.lost and not m.deleting)
+            return known > 1 and now - owner.heard_at > patience
+        return len(owner.block.risky) > 1 and now - owner.block.took_at > 9 * US + report_us
 
     async def _types(self) -> None:
         """Machine types and their present prices."""
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -96,7 +96,9 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
         self.pushing: set[str] = set()  # machines with direct orders under way
-        self.heard_at = 0  # the last report of any machine
+        self.probing: set[str] = set()  # machines that are being asked whether they hear us
+        self.recording: set[str] = set()  # machines that are being written down
+        self.heard_at = 0  # the last report of any machine that shows our baton
         self.lanes: dict[str, Lane] = {}
         self.on_loaded: Callable[[], None] = lambda: None
         self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
@@ -164,7 +166,7 @@
             self.spawn(self._balance(), "loop balance")
         for machine in list(self.block.machines.values()):
             if machine.name in self.block.risky and machine.address:
-                self.spawn(self._sync(machine), f"sync {machine.name}")
+                self.probe(machine)
 
     async def _load(self) -> int:
         block = self.block
@@ -265,24 +267,34 @@
         if not self.acts:
             return None
         now = now_us()
-        self.heard_at = now
         if report.baton > self.grant.baton:
             return None
         if not self.loaded:
             self.early[report.machine] = now
             return Response(200, encode(Orders(self.grant.baton, [])))
+        live = report.baton == self.grant.baton
         machine = self.block.machines.get(report.machine)
         if machine is None:
             if report.machine in self.block.gone:
                 return None
+            if not live:
+                # Nobody told us of it: a hire that was executed late, or a copy from a machine
+                # that an earlier owner returned. It may hold no task, since it is not recorded,
+                # and we believe that it exists once it shows our baton.
+                return Response(200, encode(Orders(self.grant.baton, [])))
             machine = self._meet(report, now)
         elif not machine.recorded and machine.address == "":
             machine.address = report.address
-        if not machine.recorded:
-            self._record(machine, report)
         wishes = self.block.beat(report, now)
         if wishes is None:
             return None
+        if machine.heard_at == now:
+            if live:
+                self.heard_at = now
+                if not machine.recorded:
+                    self._record(machine)
+            if machine.deaf_since or not machine.synced:
+                self.probe(machine)
         if self.block.dirty:
             self.wake.set()
         return Response(200, encode(Orders(self.grant.baton, [order_of(w) for w in wishes])))
@@ -410,14 +422,13 @@
     async def _store_load(self, load: Load) -> None:
         await self.state.multi(self.guards(), [Put(load_key(self.number), load)])
 
-    def _record(self, machine: Machine, report: Report) -> None:
+    def _record(self, machine: Machine) -> None:
         """A machine must stand in the state service before its first task, so that the next
-        owner knows where tasks may be."""
-        name = f"record {machine.name}"
-        if any(task.get_name() == name for task in self.tasks):
-            return
-        machine.address = report.address
-        self.spawn(self._store_machine(machine), name)
+        owner knows where tasks may be. Only one that has shown our baton: a late copy must not
+        bring back a machine that is gone."""
+        if machine.name not in self.recording:
+            self.recording.add(machine.name)
+            self.spawn(self._store_machine(machine), f"record {machine.name}")
 
     async def _store_machine(self, machine: Machine) -> None:
         stored = StoredMachine(
@@ -434,6 +445,8 @@
         except TROUBLE as fault:
             log.info("recording %s: %s", machine.name, fault)
             return  # its next report tries again
+        finally:
+            self.recording.discard(machine.name)
         if not machine.deleting:
             machine.recorded = True
             self.block.dirty = True
@@ -455,25 +468,40 @@
         self.block.machines.pop(machine.name, None)
         return False
 
-    async def _sync(self, machine: Machine) -> None:
-        """Ask a machine directly, so that it shows our baton before its next report."""
-        session = 1
-        for _ in range(6):
-            if not self.acts or machine.name not in self.block.risky:
-                return
-            try:
-                command = Command(self.grant.baton, session, [])
-                executed, report = await self.workers.command(machine.address, command)
-            except Failed:
-                await asyncio.sleep(0.5)
-                continue
-            if report.machine != machine.name:
-                return
-            session = report.session
-            if executed and self.acts:
-                self.block.answer(report, now_us())
-                self.wake.set()
-                return
+    def probe(self, machine: Machine) -> None:
+        """Ask a machine directly, so that it shows our baton before its next report, and that
+        our orders reach it."""
+        if machine.name not in self.probing and now_us() >= machine.quiet_until:
+            self.probing.add(machine.name)
+            self.spawn(self._probe(machine), f"probe {machine.name}")
+
+    async def _probe(self, machine: Machine) -> None:
+        session = machine.session or 1
+        try:
+            for _ in range(6):
+                if not self.acts or self.block.machines.get(machine.name) is not machine:
+                    return
+                try:
+                    command = Command(self.grant.baton, session, [])
+                    executed, report = await self.workers.command(machine.address, command)
+                except Failed:
+                    if machine.name not in self.block.risky:
+                        machine.quiet_until = now_us() + 2 * US
+                        return  # its next report asks again
+                    await asyncio.sleep(0.5)
+                    continue
+                if report.machine != machine.name:
+                    return
+                session = report.session
+                if executed and self.acts:
+                    self.block.answer(report, now_us())
+                    self.heard_at = now_us()
+                    if machine.synced and not machine.recorded:
+                        self._record(machine)
+                    self.wake.set()
+                    return
+        finally:
+            self.probing.discard(machine.name)
 
     # Results
 
@@ -591,6 +619,8 @@
             self.block.landed(flown, executed)
             if executed is not True:  # its reports still reach us, if it lives
                 machine.quiet_until = now_us() + 2 * US
+            if executed is None:
+                self.block.doubt(machine, now_us())
             self.wake.set()
 
     async def _rounds(self) -> None:
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -20,6 +20,7 @@
 
 MOST_HIRING = 6  # hires in progress
 MOST_NAMES = 100  # the cloud deletes that many at once
+DEAF_US = 4 * US  # a machine that has not heard us for so long is no capacity
 MINIMUM_US = 60 * US  # what a machine costs at least
 
 
@@ -106,7 +107,16 @@
         """Machines to reckon with: those that are up, and those that should be soon."""
         out = [m for batch in self.pending.values() for m in batch]
         machines = self.owner.block.machines.values()
-        return out + [m for m in machines if not self._overdue(m, now)]
+        return out + [
+            m
+            for m in machines
+            if not m.lost and not self._overdue(m, now) and not self._deaf(m, now, DEAF_US)
+        ]
+
+    @staticmethod
+    def _deaf(machine: Machine, now: int, patience_us: int) -> bool:
+        """Have our orders not reached it for so long, although its reports reach us?"""
+        return bool(machine.deaf_since) and now - machine.deaf_since > patience_us
 
     @staticmethod
     def _overdue(machine: Machine, now: int) -> bool:
@@ -153,13 +163,14 @@
                 and now - machine.made_at > MINIMUM_US - 5 * US
             )  # fmt: skip
             faulty = machine.draining and not machine.rest
+            deaf = self._deaf(machine, now, 2 * self.owner.block.timing.lapse_us)
             # Everything silent at once is more likely our own trouble than theirs.
             lost = machine.lost and self._others_heard(now)
-            if overdue or idle or faulty or lost:
+            if overdue or idle or faulty or lost or deaf:
                 machine.deleting = True
                 log.info(
                     "returning %s: %s", machine.name,
-                    "never came up" if overdue else "lost" if lost
+                    "never came up" if overdue else "lost" if lost else "deaf" if deaf
                     else "faulty" if faulty else "idle",
                 )  # fmt: skip
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -224,6 +224,7 @@
         self.recall: float | None = None
         self.up = False
         self.hung = False
+        self.deaf = False  # its reports arrive, but answers and commands don't reach it
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.change = asyncio.Event()
         self.lease_from = self.born
@@ -270,10 +271,16 @@
             pool = pools.setdefault(address, Pool(address, 2))
             sent, session = self.loop.time(), self.session
             body = json.dumps(self.report()).encode()
+            if self.world.chance.random() < self.world.copies:
+                on_host(self.host, self._copy(body))
             try:
                 status, answer = await pool.request("POST", "/agent/beat", body, 4_000_000)
             except Exception:
                 status, answer = 0, b""
+            if self.deaf:
+                pool.close()
+                await asyncio.sleep(max(0.0, sent + 4 - self.loop.time()))
+                status = 0
             if status == 200:
                 self._obey(json.loads(answer), sent, session)
                 await self._pause()
@@ -291,6 +298,18 @@
                 at += 1
                 await asyncio.sleep(1)
 
+    async def _copy(self, body: bytes) -> None:
+        """A copy of a report comes late, at any node, whatever has become of the machine."""
+        await asyncio.sleep(self.world.chance.uniform(0.5, 2.5 * self.LEASE))
+        _, address = self.world.chance.choice(self.world.fronts())
+        pool = Pool(address, 1)
+        try:
+            await pool.request("POST", "/agent/beat", body, 4_000_000)
+        except Exception:
+            pass
+        finally:
+            pool.close()
+
     async def _pause(self) -> None:
         self.change.clear()
         await asyncio.sleep(0.5)
@@ -398,7 +417,7 @@
                         self._end(key, "error" if job.get("Broken") else "done")
 
     async def handle(self, request: Request) -> Response:
-        while self.hung:
+        while self.hung or self.deaf:
             await asyncio.sleep(0.2)
         if request.path == "/status":
             return reply(200, self.report())
@@ -514,6 +533,7 @@
         self.limits = limits or {}
         self.nodes = [f"node-{i}" for i in range(nodes)]
         self.operator = operator or {}
+        self.copies = 0.0  # how many of the workers' reports arrive a second time, late
         self.state = FakeState(loop)
         self.cloud = FakeCloud(self)
         self.referee = Referee(self)
@@ -593,6 +613,19 @@
         for host in self._around(name, True, True):
             self.net.heal(self.host(name), host, deliver)
 
+    def estrange(self, name: str) -> None:
+        """Cut a controller off from the state service and the other controllers, but not from
+        its workers."""
+        for host in self._betters(name):
+            self.net.cut(self.host(name), host)
+
+    def reconcile(self, name: str, deliver: bool = True) -> None:
+        for host in self._betters(name):
+            self.net.heal(self.host(name), host, deliver)
+
+    def _betters(self, name: str) -> list[str]:
+        return [self.host(n) for n in self.nodes if n != name] + [FakeState.HOST]
+
     def _around(self, name: str, state: bool, cloud: bool) -> list[str]:
         out = [self.host(n) for n in self.nodes if n != name]
         out += [f"10.1.0.{i}" for i in range(250)]
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -357,3 +357,74 @@
     assert not filler.live
     plan(story.block, story.now)
     assert len(gang.live) == 2 and not array.live
+
+
+def test_a_machine_whose_lease_ran_out_although_it_was_answered_must_prove_that_it_hears() -> None:
+    """Its reports arrive, answers and commands don't: its tasks go elsewhere, none come."""
+    story = Story(machines=2)
+    work = story.submit()
+    deaf = story.attempt(work).machine
+    story.beat(deaf.name)
+    story.now += TIMING.lease_us
+    story.beat(deaf.name, session=2, tick=1)
+    plan(story.block, story.now)
+    assert work.live[0].machine is not deaf and not deaf.usable(story.now)
+    story.block.answer(story.report(deaf.name, session=2, tick=2), story.now)
+    assert deaf.usable(story.now)
+
+
+def test_a_session_that_outlives_its_lease_proves_that_the_machine_hears() -> None:
+    story = Story()
+    machine = story.block.machines["m-0"]
+    story.beat("m-0", session=2, tick=1)
+    assert not machine.usable(story.now)
+    for tick in range(2, 13):
+        story.now += US
+        story.beat("m-0", session=2, tick=tick)
+    assert machine.usable(story.now)
+
+
+def test_an_unanswered_order_keeps_new_tasks_off_until_the_machine_is_heard_to_obey() -> None:
+    story = Story()
+    work = story.submit()
+    machine = story.block.machines["m-0"]
+    _, flown = story.block.direct(machine, story.now)
+    story.block.landed(flown, None)
+    story.block.doubt(machine, story.now)
+    assert not machine.usable(story.now)
+    story.beat("m-0")
+    assert not machine.usable(story.now)  # that a report arrives shows nothing of the way back
+    story.beat("m-0", listed(story.attempt(work), "fetching"))
+    assert machine.usable(story.now)
+
+
+def test_a_machine_that_never_shows_the_baton_does_not_hold_up_older_jobs_for_ever() -> None:
+    """After a takeover a deaf machine, or copies of a dead one's reports, keep arriving."""
+    story = Story()
+    story.add("m-9", loaded=True)
+    work = story.submit(stamp=50)
+    assert not work.live
+    for tick in range(1, 40):
+        story.now += US
+        story.beat("m-9", Listed("req-000001/0", 5, "running"), baton=6, tick=tick)
+        story.beat("m-0")
+        story.block.tick(story.now)
+        plan(story.block, story.now)
+        if work.live:
+            break
+    waited = story.now - story.block.took_at
+    assert TIMING.lapse_us < waited <= TIMING.lease_us + TIMING.lapse_us + 2 * US
+    assert work.live[0].machine.name == "m-0"
+
+
+def test_copies_of_its_reports_do_not_bring_back_a_machine_that_was_lost() -> None:
+    story = Story()
+    lost = story.add("m-9", loaded=True)
+    story.now += TIMING.lapse_us + 1
+    story.beat("m-0")
+    story.block.tick(story.now)
+    assert lost.lost
+    assert story.beat("m-9", Listed("req-000001/0", 5, "running"), baton=6, session=3) == []
+    assert lost.lost and not lost.up and not lost.attempts and not lost.heard_at
+    story.beat("m-9", session=4, tick=1)  # it shows our baton: it lives
+    assert not lost.lost and lost.synced
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -70,6 +70,19 @@
             await asyncio.sleep(seconds)
             machine.hung = False
 
+    async def deaf(seconds: float) -> None:
+        machines = [m for m in world.cloud.machines.values() if m.up]
+        if machines:
+            machine = chance.choice(machines)
+            machine.deaf = True
+            await asyncio.sleep(seconds)
+            machine.deaf = False
+
+    async def estranged(name: str, seconds: float) -> None:
+        world.estrange(name)
+        await asyncio.sleep(seconds)
+        world.reconcile(name, deliver=chance.random() < 0.7)
+
     async def die() -> None:
         if world.cloud.machines:
             name = chance.choice(list(world.cloud.machines))
@@ -79,7 +92,7 @@
         await asyncio.sleep(chance.uniform(1, 8))
         name = chance.choice(world.nodes)
         seconds = chance.choice([0.3, 2.0, 7.0, 15.0])
-        kind = chance.randrange(8)
+        kind = chance.randrange(11)
         if kind == 0:
             work = cut(name, True, seconds)
         elif kind == 1:
@@ -92,6 +105,12 @@
             work = refused(name, seconds)
         elif kind == 6:
             work = hang(seconds)
+        elif kind == 7:
+            work = deaf(seconds)
+        elif kind == 8:
+            work = estranged(name, seconds)
+        elif kind == 9:  # back at once, with the last message still on its way
+            work = crash(name, chance.uniform(0.05, 0.4))
         else:
             work = die()
         pending.append(asyncio.get_running_loop().create_task(work))
@@ -104,6 +123,7 @@
         chance = random.Random(seed)
         limits = {"blue": 6.0} if seed % 2 else None
         world = World(loop, seed, limits=limits, operator={"blocks": blocks})
+        world.copies = 0.1
         await world.start()
         trouble = loop.create_task(_trouble(world, chance))
         users = loop.create_task(_users(world, chance, 25))
@@ -122,7 +142,7 @@
             if name not in world.running:
                 world.boot(name)
         for machine in world.cloud.machines.values():
-            machine.hung = False
+            machine.hung = machine.deaf = False
         left = [ref for ref in world.jobs if ref not in world.referee.cancelled_at]
         await world.until_done(*left, seconds=400)
         world.verdict()
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,169 @@
+"""Troubles of which half goes unseen: one-way links, late copies, quick returns."""
+
+import asyncio
+
+from tests.fakes import FakeWorker, World
+from tests.world import Loop, play
+
+
+def _holder(world: World, task: str) -> FakeWorker:
+    return world.referee.on[task]
+
+
+def test_a_deaf_machine_loses_its_tasks_to_others_gets_no_new_ones_and_is_returned() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(2, 60.0)
+        deaf = _holder(world, "req-000001/0")
+        deaf.deaf = True
+        since = loop.time()
+        await world.until(
+            lambda: world.referee.on.get("req-000001/0") not in (None, deaf), seconds=40
+        )
+        assert loop.time() - since < 4 * FakeWorker.LEASE
+        await world.submit(world.job(2, Pieces=4, RunS=20.0))
+        await world.until(lambda: deaf.name not in world.cloud.machines, seconds=60)
+        assert not any(worker is deaf for worker in world.referee.on.values())
+        await world.until_done("req-000001", "req-000002", seconds=200)
+        world.verdict()
+
+    play(story)
+
+
+def test_a_deaf_machine_does_not_hold_up_the_jobs_of_an_earlier_owner() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(2, 60.0)
+        deaf = _holder(world, "req-000001/0")
+        deaf.deaf = True
+        world.crash(owner)
+        since = loop.time()
+        await world.submit(world.job(2, Pieces=2, RunS=5.0))
+        await world.until_done("req-000002", seconds=60)
+        await world.until(
+            lambda: world.referee.on.get("req-000001/0") not in (None, deaf), seconds=60
+        )
+        assert loop.time() - since < 6 * FakeWorker.LEASE
+        world.boot(owner)
+        await world.until_done("req-000001", seconds=200)
+        world.verdict()
+
+    play(story)
+
+
+def test_a_cancellation_is_kept_on_a_deaf_machine_too() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(4, 500.0)
+        for machine in world.cloud.machines.values():
+            machine.deaf = True
+        assert await world.cancel("req-000001") == "withdrawn"
+        await asyncio.sleep(World.CANCEL + 0.1)
+        assert world.on("req-000001") == []
+        world.verdict()
+
+    play(story)
+
+
+def test_a_controller_that_has_only_its_workers_left_gives_them_up_in_time() -> None:
+    """It reaches neither the state service nor its peers; its workers' leases must not end."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        first = await world.busy(6, 40.0)
+        starts = world.referee.starts
+        world.estrange(first)
+        await world.until(lambda: world.owner() not in (None, first), seconds=FakeWorker.LEASE)
+        status, _ = await world.ask(first, "GET", "/healthz")
+        assert status == 503  # users go elsewhere
+        asked = loop.time()
+        status, _ = await world.ask(first, "POST", "/api/jobs", world.job(2))
+        assert status == 503 and loop.time() - asked < 0.1
+        await world.until_done("req-000001")
+        assert world.referee.starts == starts  # nothing had to be started again
+        world.reconcile(first)
+        await asyncio.sleep(5)
+        world.verdict()
+
+    play(story)
+
+
+def test_late_copies_do_not_bring_back_a_machine_that_an_earlier_owner_returned() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(2, 30.0)
+        dead = _holder(world, "req-000001/0")
+        held = dead.report()
+        dead.stop()
+        del world.cloud.machines[dead.name]
+        key = f"mach/{dead.name}"
+        await world.until(lambda: key not in world.state.keys, seconds=60)
+        world.crash(owner)
+        await world.until(lambda: world.owner() not in (None, owner))
+        second = world.owner()
+        assert second is not None
+        await world.until(lambda: world.parts[second].owners[0].loaded)
+        for _ in range(20):
+            held["Tick"] += 1
+            await world.ask(second, "POST", "/agent/beat", held)
+            await asyncio.sleep(0.5)
+        assert key not in world.state.keys
+        assert dead.name not in world.parts[second].owners[0].block.machines
+        world.boot(owner)
+        await world.until_done("req-000001")
+        world.verdict()
+
+    play(story)
+
+
+def test_controllers_that_are_back_at_once_in_mid_election_keep_the_rules() -> None:
+    async def story(loop: Loop) -> None:
+        for _ in range(1):
+            world = World(loop, seed=5)
+            world.copies = 0.3
+            owner = await world.busy(6, 60.0)
+            for number in range(2, 6):
+                await world.submit(world.job(number, Pieces=3, RunS=10.0))
+            for moment in range(12):
+                name = world.nodes[moment % 3] if moment % 2 else owner
+                if name in world.running:
+                    world.crash(name)
+                await asyncio.sleep(0.15)
+                world.boot(name)
+                await asyncio.sleep(0.4 + 0.3 * (moment % 4))
+                world.owner()  # never two
+                world.referee.check()
+            await world.until_done(*[f"req-{n:06d}" for n in range(1, 6)], seconds=200)
+            world.verdict()
+
+    play(story)
+
+
+def test_every_accepted_job_is_answered_by_every_controller_soon_after_the_last_trouble() -> None:
+    """All crash during an outage, with one of them cut off: nobody is forgotten."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        refs = [f"req-{n:06d}" for n in range(1, 7)]
+        for number in range(1, 7):
+            await world.submit(world.job(number, Pieces=2, RunS=3.0 * number))
+        await world.cancel("req-000006")
+        world.isolate("node-1")
+        world.state.down = True
+        await asyncio.sleep(1)
+        for name in world.nodes:
+            world.crash(name)
+            await asyncio.sleep(0.2)
+            world.boot(name)
+        await asyncio.sleep(20)
+        world.rejoin("node-1")
+        world.state.outage_over()
+        await asyncio.sleep(15)
+        for name in world.nodes:
+            for ref in refs:
+                assert await world.poll(ref, name) in ("pending", "running", "done", "withdrawn")
+        await world.until_done(*refs[:5], seconds=200)
+        world.verdict()
+
+    play(story)
