--- a/basaltlead/clients/base.py
+++ b/basaltlead/clients/base.py
@@ -23,6 +23,11 @@
         self.depth = (burst if burst is not None else rate) * self.gap
         self.full_at = 0.0
 
+    def behind_s(self) -> float:
+        """How long the next to come would have to wait."""
+        late = self.full_at - asyncio.get_running_loop().time() - self.depth
+        return max(0.0, late + self.gap)
+
     async def take(self, amount: float = 1.0) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -199,7 +199,7 @@
             self.log(
                 f"machine {name} ({machine.kind.name}{', spot' if machine.spot else ''}) returned: "
                 f"{age:.0f} s old, {up:.0f} s up, {machine.useful:.0f} s of use, "
-                f"{machine.wasted:.0f} s wasted"
+                f"{machine.wasted:.0f} s wasted, {machine.fetched:.0f} s of fetches"
             )
         while len(self.gone) > 1000:
             del self.gone[next(iter(self.gone))]
@@ -381,7 +381,8 @@
             attempt.machine.keep_image(attempt.work.job.image, attempt.work.job.image_gb)
         if seen.stage == "running" and not attempt.ran_at:
             attempt.ran_at = now
-            work = attempt.work
+            work, machine = attempt.work, attempt.machine
+            machine.fetched += machine.share(work.job) * (now - attempt.since) / US
             if not work.started_at:
                 work.started_at = now
                 self.log(
--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -10,6 +10,7 @@
 from basaltlead.core.model import US, Job, Machine, Work, allowed
 
 MARGIN = 0.85  # of the time left: guesses are often wrong by half
+LATE_US = 120 * US  # a job that can't be in time any more is to be done within that
 
 
 def counts(
@@ -35,8 +36,8 @@
         each = guess_us(work)
         total += load(work, each, now)
         left = int((due - now) * MARGIN) - (0 if work.live else lead_us)
-        if left < each * 3 // 4:  # late already: in two waves, whatever that may cost less
-            left = 2 * each
+        if left < each * 3 // 4:  # late already: no hurry is worth its price any more
+            left = max(2 * each, LATE_US)
         rate = max(rate, total / max(left, each, US))
     for _, work in dated:
         size = work.job.size
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -204,6 +204,7 @@
         self.up_at = 0
         self.useful = 0.0  # share-seconds of tasks that completed here, and of those that did not
         self.wasted = 0.0
+        self.fetched = 0.0  # the same for tasks between their start and their first run
         self.faults: set[str] = set()  # jobs that failed here since the last success
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.rest: dict[tuple[str, int, int], Rest] = {}
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -1,5 +1,6 @@
 """Users: submit, poll, cancel. Whatever is told was stored, or read, before."""
 
+import asyncio
 import re
 from collections.abc import Callable
 from typing import TypeVar
@@ -34,6 +35,9 @@
 KNOWN_REF = re.compile(REF)
 FINALS_KEPT = 5000
 LATER = "Retry-After: 1\r\n"
+MUCH_LATER = "Retry-After: 3\r\n"
+MOST_QUEUED_S = 0.5  # a request that would wait for longer than that is refused at once
+ANSWER_S = {"GET": 1.7, "POST": 4.0}  # users wait 2 and 5 s: one that is given up is told so
 
 
 def refusal(status: int, text: str, headers: str = "") -> Response:
@@ -65,11 +69,16 @@
         self.brake = Brake()
 
     async def handle(self, request: Request) -> Response:
+        if self.state.requests.behind_s() > MOST_QUEUED_S:
+            return refusal(503, "busy", MUCH_LATER)
         if not self.limiter.enter():
             return refusal(503, "busy", LATER)
         started = now_us()
         try:
-            return await self._route(request)
+            async with asyncio.timeout(ANSWER_S.get(request.method, 1.0)):
+                return await self._route(request)
+        except TimeoutError:
+            return refusal(503, "no answer in time", LATER)
         except (Failed, Unavailable, Conflict, NoHold) as fault:
             if self.brake.ok(started):
                 log.info("%s %s: %s", request.method, request.path, fault)
@@ -144,6 +153,8 @@
 
     async def _rows(self, ref: str) -> list[Row]:
         """The open job's rows: itself first, then its results; empty if it is not open."""
+        if self.member.cut_off:
+            raise Unavailable("the state service does not answer")
         most = 1 + self.blocks * stretch_count(100_000)
         page = await self.state.page(OPEN + ref, most=most)
         rows = [row for row in page.rows if split_open(row.key)[0] == ref]
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -71,6 +71,11 @@
         """Has the state service been silent for a while?"""
         return now_us() - self.contact_at > self.ttl_us // 3
 
+    @property
+    def cut_off(self) -> bool:
+        """Has the state service not answered for so long that asking it for a user is no use?"""
+        return now_us() - self.contact_at > self.ttl_us
+
     def promise(self, name: str, life: str, span_us: int) -> int:
         """Promise an owner not to put anybody in its place; 0 when we will not.
 
--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -299,6 +299,12 @@
         self.max_body = max_body
         self.resting: list[ClientProtocol] = []
         self.slots = asyncio.Semaphore(limit)
+        self.running = 0
+
+    @property
+    def busy(self) -> bool:
+        """Is a request under way?"""
+        return self.running > 0
 
     def dropped(self, connection: ClientProtocol) -> None:
         if connection in self.resting:
@@ -310,6 +316,7 @@
         """Send one request and await its answer; `Failed` when there is none in time."""
         connection: ClientProtocol | None = None
         sent = False
+        self.running += 1
         try:
             async with asyncio.timeout(timeout_us / 1e6), self.slots:
                 connection = self.resting.pop() if self.resting else await self._connect()
@@ -337,6 +344,8 @@
             if connection is not None:
                 connection.close()
             raise
+        finally:
+            self.running -= 1
 
     async def _connect(self) -> ClientProtocol:
         loop = asyncio.get_running_loop()
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -21,7 +21,7 @@
 from basaltlead.logs import Brake, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response, Server
-from basaltlead.owner import Owner, limits_of
+from basaltlead.owner import Owner, limits_of, worker_sockets
 from basaltlead.peers import Peers
 from basaltlead.records import HIRE, LEASE, MACHINE, OPEN, TYPES, kind_of
 from basaltlead.renting import Renting
@@ -30,7 +30,7 @@
 from basaltlead.wire.state import Put
 from basaltlead.wire.workers import Elsewhere, Report
 
-RESERVED_SOCKETS = 150  # for our own calls to workers, state service, cloud and peers
+RESERVED_SOCKETS = 70  # for our own calls to state service, cloud and peers
 
 report_decoder = msgspec.json.Decoder(Report)
 
@@ -63,7 +63,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        limit = max(50, self.settings.facts.quota.fd_limit - RESERVED_SOCKETS)
+        ours = RESERVED_SOCKETS + worker_sockets(self.settings)
+        limit = max(50, self.settings.facts.quota.fd_limit - ours)
         server = Server(self.handle, limit)
         await server.start(self.settings.front)
         await self.peers.serve()
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -81,7 +81,7 @@
         timing = Timing(int(w.lease_s * US), int(w.report_s * US))
         self.block = Block(grant.baton, stamp, now_us(), timing, limits_of(settings))
         self.block.log = lambda text: log.info("%s", text)
-        self.workers = Workers()
+        self.workers = Workers(worker_sockets(settings))
         self.loaded = False
         self.resigned = False  # we have stopped acting, for good
         self.watched_at = now_us()  # when the last good look at the open jobs was asked for
@@ -642,6 +642,11 @@
         await self.state.multi(self.guards(), puts)
 
 
+def worker_sockets(settings: Settings) -> int:
+    """How many of our sockets may go to workers; most are kept for those who come to us."""
+    return max(8, settings.facts.quota.fd_limit // 5)
+
+
 def limits_of(settings: Settings) -> dict[str, Limits]:
     return {t.name: Limits(t.cpus, t.gpus, t.cpus_max, t.gpus_max) for t in settings.facts.teams}
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from basaltlead.clients.workers import Workers
+from basaltlead.net.http import Pool, Request, Server
+from basaltlead.wire.workers import Command
 from tests.fakes import FakeWorker, World
 from tests.world import Loop, play
 
@@ -251,3 +254,50 @@
         assert (await world.ask("node-1", "GET", "/healthz"))[0] == 200
 
     play(story)
+
+
+def test_what_can_not_be_taken_is_refused_at_once_with_when_to_come_back() -> None:
+    """More is asked than the state service's share allows, then it falls silent."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(1, 60.0)
+        desk = world.parts["node-0"].desk
+        desk.state.requests.full_at = loop.time() + 60.0
+        pool = Pool(dict(world.fronts())["node-0"], 1)
+        asked = loop.time()
+        status, _ = await pool.request("GET", "/api/jobs/req-000001")
+        assert status == 503 and loop.time() - asked < 0.1
+        desk.state.requests.full_at = 0.0
+        answer = await desk.handle(Request("GET", "/api/jobs/req-000001", "", b""))
+        assert answer.status == 200
+        world.estrange("node-0")  # connections hang: nobody answers, nobody refuses
+        asked = loop.time()
+        answer = await desk.handle(Request("GET", "/api/jobs/req-000001", "", b""))
+        assert answer.status == 503 and "Retry-After" in answer.headers
+        assert loop.time() - asked < 2.0  # users wait no longer
+        await asyncio.sleep(3)
+        asked = loop.time()
+        answer = await desk.handle(Request("GET", "/api/jobs/req-000001", "", b""))
+        assert answer.status == 503 and loop.time() == asked
+        world.verdict()
+
+    play(story)
+
+
+def test_calls_to_workers_keep_within_their_sockets() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(1, 60.0)
+        machine = next(iter(world.cloud.machines.values()))
+        addresses = [f"10.1.1.{number}:9000" for number in range(12)]
+        for address in addresses:
+            await Server(machine.handle, 100).start(address)
+        workers = Workers(most=4)
+        command = Command(0, 1, [])
+        asked = [workers.command(address, command) for address in addresses]
+        answers = await asyncio.gather(*asked)
+        assert all(report.machine == machine.name for _, report in answers)
+        assert len(workers.pools) <= 4
+
+    play(story)
