--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -72,6 +72,8 @@
     grace_s: float | None = None
 
 
+SLOW_TIMES = 6  # a machine is slow if a task takes that many times what others took
+MOST_GIVEN_UP = 4  # tasks of one job that are taken off slow machines
 MAX_ORDERS = 250  # in one message: keeps a line far below 64 KiB
 
 
@@ -90,6 +92,7 @@
         self.works: dict[str, Work] = {}
         self.team_used: dict[str, list[float]] = {}
         self.ratio: dict[str, float] = {}  # measured run time over the guess, by class
+        self.looked_at = 0  # when slow tasks were last looked for
         self.dirty = True
         self.gone: dict[str, None] = {}  # names of machines that are deleted (bounded)
         self.log: Callable[[str], None] = lambda text: None
@@ -574,6 +577,34 @@
                     self._lose(machine, now)
             else:
                 self._drain(machine, now)
+        if now >= self.looked_at + US:
+            self.looked_at = now
+            for work in list(self.works.values()):
+                if work.live and not work.closed:
+                    self._give_up_slow(work, now)
+
+    def _give_up_slow(self, work: Work, now: int) -> None:
+        """Take tasks off machines that are much slower than their kind: what takes many times as
+        long as the job's other tasks did, or as its class was guessed to take. A job that is
+        slow everywhere is left alone after a few tries, and one without a guess from the start."""
+        if work.given_up >= MOST_GIVEN_UP or work.job.guess_us <= 0:
+            return
+        if work.ran_count >= 3:
+            limit = SLOW_TIMES * self.guess_us(work) + 30 * US
+        else:
+            limit = 2 * SLOW_TIMES * self.guess_us(work) + 60 * US
+        for attempt in list(work.live.values()):
+            if attempt.stage != "running" or attempt.grace is not None or not attempt.ran_at:
+                continue
+            machine = attempt.machine
+            if now - attempt.ran_at > limit and not machine.deaf_since and not machine.lost:
+                work.given_up += 1
+                work.failed_on[machine.name] = now + 300 * US
+                machine.slow.add(work.job.ref)
+                self.log(f"machine {machine.name} is slow: {work.job.ref}/{attempt.index} given up")
+                if len(machine.slow) >= 2:
+                    machine.draining = True
+                self.stop_softly(attempt)
 
     def _drain(self, machine: Machine, now: int) -> None:
         """Move work off a machine that will be taken away, saving what can be saved."""
@@ -590,7 +621,7 @@
                 need_us = int(job.mark_s * US) + 2 * self.timing.report_us + US
                 if left_us is None or left_us <= need_us:
                     self.stop_softly(attempt)
-            elif machine.draining and machine.faults:
+            elif machine.draining and (machine.faults or machine.slow):
                 self.stop(attempt, 0.0)
 
     # For planning
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -114,9 +114,13 @@
             )
             for w in works
         ]
-        capacity = sum(
-            m.kind.cpus for m in block.machines.values() if m.up and not m.lost and not m.deaf_since
+        # Gangs hold whole machines by rank and take no part: what they use is not for sale. Sold
+        # twice, it left those that come last in start order with shares of nothing.
+        gangs = sum(
+            len(w.live) * w.job.size for w in block.works.values() if w.job.gang and not w.closed
         )
+        up = [m for m in block.machines.values() if m.up and not m.lost and not m.deaf_since]
+        capacity = max(0.0, sum(m.kind.cpus for m in up) - gangs)
         slots = clear(bids, capacity)
         self.price = price(bids, capacity)
         for work in works:
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -206,6 +206,7 @@
         self.wasted = 0.0
         self.fetched = 0.0  # the same for tasks between their start and their first run
         self.faults: set[str] = set()  # jobs that failed here since the last success
+        self.slow: set[str] = set()  # jobs of which a task took far too long here
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.rest: dict[tuple[str, int, int], Rest] = {}
         self.images: dict[str, float] = {}
@@ -276,6 +277,7 @@
         self.closed = False  # cancelled or over: nothing may start
         self.hold_until = 0
         self.failures = 0
+        self.given_up = 0  # how often a task was taken off a machine for being slow
         self.failed_on: dict[str, int] = {}  # machines to keep it off, until when
         self.bid = 0.0
         self.slots: int | None = None  # what the auction gave it; None before its first round
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -8,11 +8,16 @@
 
 from basaltlead.core import gangs, placement
 from basaltlead.core.block import Block, Limits
-from basaltlead.core.model import Attempt, Job, Machine, Work
+from basaltlead.core.model import US, Attempt, Job, Machine, Work
 
 MOST_STARTS = 2000  # of one job in one plan
+GATHER_US = 20 * US  # a gang that has waited for so long has room kept free for it
 MOST_CLEARED = 40  # tasks of one job for which others are stopped, in one plan
 
+# What a gang may have on one machine: cost of each place, name, machine, places, what must stop.
+Opening = tuple[float, str, Machine, int, list[Attempt]]
+Taken = tuple[Machine, int, list[Attempt]]
+
 
 def guaranteed(block: Block, work: Work) -> bool:
     """Does the job fit into its team's guarantee beside what the team uses?"""
@@ -61,6 +66,7 @@
         self.zones = {machine.zone for machine in self.usable}
         self.rooms = {machine.name: machine.room(staying=True) for machine in self.usable}
         self.unsure = block.strangers  # may tasks run that nobody accounts for?
+        self.kept: set[str] = set()  # machines that are kept free for a gang
         self.hopeless: set[tuple[object, ...]] = set()  # what found no room in this plan
         for machine in self.usable:
             machine.booked = sum(a.work.bid for a in machine.attempts.values() if a.grace is None)
@@ -82,7 +88,8 @@
     def _suited(self, work: Work) -> list[Machine]:
         return [
             m for m in self.usable
-            if placement.allowed(work.job, m.kind.name, m.zone, m.spot)
+            if m.name not in self.kept
+            and placement.allowed(work.job, m.kind.name, m.zone, m.spot)
             and m.kind.holds(work.job) and work.failed_on.get(m.name, 0) <= self.now
         ]  # fmt: skip
 
@@ -170,6 +177,7 @@
         if chosen is None:
             if asks is not None:
                 self.hopeless.add(asks)
+            self._keep_room(work, suited)
             return
         token = self.block.token()
         work.rewind()
@@ -199,6 +207,33 @@
                 return
             self._start(work, index, machine, token)
 
+    def _keep_room(self, work: Work, suited: list[Machine]) -> None:
+        """Gather room for a gang that waits: on the machines that will be empty soonest nothing
+        more is started in this plan by jobs that come after it. Work that comes one task at a
+        time would else take each place as it falls free, and a large gang would wait for ever.
+        One gang at a time, the first in start order."""
+        if self.kept or self.now - work.asked_at < GATHER_US:
+            return
+        job = work.job
+        offers: list[Opening] = [
+            (float(self._busy_us(machine)), machine.name, machine, machine.kind.holds(job), [])
+            for machine in suited
+        ]
+        offers.sort(key=lambda offer: offer[:2])
+        found = self._best_gather(job, placement.zones_open(work, self.zones), offers)
+        if found is not None:
+            self.kept.update(machine.name for machine, _, _ in found[1])
+
+    def _busy_us(self, machine: Machine) -> int:
+        """How long the tasks on a machine will still run, as far as can be guessed."""
+        return max(
+            (
+                max(self.block.guess_us(a.work) - (self.now - (a.ran_at or self.now)), US)
+                for a in machine.attempts.values()
+            ),
+            default=0,
+        )
+
     # Preemption
 
     def _may_stop(self, job: Job, within: bool, victim: Work) -> bool:
@@ -255,7 +290,7 @@
         the zone where that wastes least."""
         job = work.job
         within = guaranteed(self.block, work)
-        offers: list[tuple[float, str, Machine, int, list[Attempt]]] = []
+        offers: list[Opening] = []
         for machine in suited:
             stops = [
                 a for a in machine.attempts.values()
@@ -270,12 +305,7 @@
                 cost = (loss + placement.fetch_cost(job, machine)) / count
                 offers.append((cost, machine.name, machine, count, stops))
         offers.sort(key=lambda offer: offer[:2])
-        zones = placement.zones_open(work, self.zones)
-        best: tuple[float, list[tuple[Machine, int, list[Attempt]]]] | None = None
-        for tried in [{zone} for zone in sorted(zones)] if job.one_zone else [zones]:
-            found = self._gather(job, tried, offers)
-            if found is not None and (best is None or found[0] < best[0]):
-                best = found
+        best = self._best_gather(job, placement.zones_open(work, self.zones), offers)
         if best is None:
             return None
         chosen = []
@@ -284,10 +314,21 @@
             chosen += [machine] * count
         return chosen
 
+    def _best_gather(
+        self,
+        job: Job,
+        zones: set[str],
+        offers: list[Opening],
+    ) -> tuple[float, list[Taken]] | None:
+        """The cheapest of the offered places; all in one zone if the job asks for that."""
+        tried = [{zone} for zone in sorted(zones)] if job.one_zone else [zones]
+        found = [self._gather(job, some, offers) for some in tried]
+        return min((f for f in found if f is not None), key=lambda f: f[0], default=None)
+
     @staticmethod
     def _gather(
-        job: Job, zones: set[str], offers: list[tuple[float, str, Machine, int, list[Attempt]]]
-    ) -> tuple[float, list[tuple[Machine, int, list[Attempt]]]] | None:
+        job: Job, zones: set[str], offers: list[Opening]
+    ) -> tuple[float, list[Taken]] | None:
         """The cheapest of the offered places that together hold the gang, and their cost."""
         left = job.tasks
         held = dict.fromkeys(zones, 0)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -20,6 +20,8 @@
 
 MOST_HIRING = 6  # hires in progress
 MOST_NAMES = 100  # the cloud deletes that many at once
+DARK_COUNT = 3  # machines that must be silent before their zone is in doubt
+DARK_US = 45 * US  # for how long nothing is hired there after the last of them was returned
 DEAF_US = 4 * US  # a machine that has not heard us for so long is no capacity
 MINIMUM_US = 60 * US  # what a machine costs at least
 
@@ -37,6 +39,7 @@
         self.shop = shop
         self.sequence = 0
         self.pending: dict[str, list[Machine]] = {}  # hires without an answer so far
+        self.dark: dict[str, int] = {}  # zones of which nothing is heard, to be avoided until when
         self.waits = {
             o.lane: int(o.within_s * US) for o in settings.facts.objectives if o.kind == "wait"
         }
@@ -135,9 +138,11 @@
             needs = self.needs(now)
             run_us = {n.work.job.ref: block.guess_us(n.work) for n in needs}
             room = MOST_HIRING - len(self.pending)
+            self._look_for_dark_zones(now)
+            offers = self.shop.offers(self.owner.kinds.values(), self._held(), now)
             plan = fleet.size(
                 needs, self.spares(now), self.expected(now), self.owner.kinds,
-                self.shop.offers(self.owner.kinds.values(), self._held(), now), run_us, 12,
+                {o: n for o, n in offers.items() if o.zone not in self.dark}, run_us, 12,
             )  # fmt: skip
             grouped: dict[Offer, int] = {}
             for offer in plan.hires:
@@ -150,6 +155,26 @@
             self.owner.wake.set()
             self._give_back(plan.needed, now)
 
+    def _look_for_dark_zones(self, now: int) -> None:
+        """Nothing is hired in a zone whose machines have all fallen silent while others are
+        heard: it is cut off, and what boots there can't reach us either."""
+        silent_us = max(4 * US, 3 * self.owner.block.timing.report_us)
+        seen: dict[str, list[bool]] = {}
+        for machine in self.owner.block.machines.values():
+            if machine.up and machine.heard_at:
+                heard = not machine.lost and now - machine.heard_at < silent_us
+                seen.setdefault(machine.zone, []).append(heard)
+        self.dark = {zone: until for zone, until in self.dark.items() if now < until}
+        if not any(map(any, seen.values())):
+            return
+        for zone, machines in seen.items():
+            if any(machines):
+                self.dark.pop(zone, None)
+            elif len(machines) >= DARK_COUNT:
+                if zone not in self.dark:
+                    log.info("nothing is heard from %s, no hires there", zone)
+                self.dark[zone] = now + DARK_US
+
     def _give_back(self, needed: set[str], now: int) -> None:
         share = self.settings.operator.idle_share
         for machine in list(self.owner.block.machines.values()):
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -428,3 +428,71 @@
     assert lost.lost and not lost.up and not lost.attempts and not lost.heard_at
     story.beat("m-9", session=4, tick=1)  # it shows our baton: it lives
     assert not lost.lost and lost.synced
+
+
+def test_a_much_slower_machine_loses_its_tasks_but_a_job_slow_everywhere_is_left_alone() -> None:
+    story = Story(machines=3)
+    work = story.submit(tasks=9)
+    slow = work.live[0].machine
+    for attempt in list(work.live.values()):
+        story.beat(attempt.machine.name)
+    for name in ("m-0", "m-1", "m-2"):
+        there = [listed(a, "running") for a in story.block.machines[name].attempts.values()]
+        story.beat(name, *there)
+    story.now += 5 * US
+    for name in ("m-0", "m-1", "m-2"):
+        if name != slow.name:
+            ended = [
+                listed(a, "ended", "done") for a in story.block.machines[name].attempts.values()
+            ]
+            story.beat(name, *ended)
+    assert work.ran_count >= 3
+    for _ in range(80):
+        story.now += US
+        for name in ("m-0", "m-1", "m-2"):
+            story.beat(name, *(listed(a, "running") for a in _there(story, name)))
+        story.block.tick(story.now)
+    assert all(a.grace is not None for a in slow.attempts.values())
+    gone = [listed(a, "ended", "stopped") for a in slow.attempts.values()]
+    story.beat(slow.name, *gone)
+    for name in ("m-0", "m-1", "m-2"):
+        story.beat(name)
+    plan(story.block, story.now)
+    assert work.live and all(a.machine is not slow for a in work.live.values())
+    everywhere = story.submit(2, tasks=1)
+    for _ in range(10):
+        attempt = everywhere.live[0]
+        attempt.stage, attempt.ran_at = "running", story.now
+        story.now += 400 * US
+        story.block._give_up_slow(everywhere, story.now)
+        if attempt.grace is None:
+            break
+        story.block._remove(attempt, story.now)
+        for machine in story.block.machines.values():
+            machine.draining = False
+        story.now += 301 * US
+        plan(story.block, story.now)
+    assert everywhere.given_up == 4 and attempt.grace is None
+
+
+def test_room_is_gathered_for_a_large_gang_that_waits() -> None:
+    """Single tasks of its own rank would else take each place as it falls free."""
+    story = Story(machines=2)
+    running = [story.submit(number, cpus=2.0, gang=True) for number in range(1, 5)]
+    large = story.submit(9, tasks=2, cpus=4.0, gang=True, one_zone=True)
+    for number in range(10, 40):  # always one goes and another comes
+        story.now += 10 * US
+        for name in ("m-0", "m-1"):
+            story.beat(name, *(listed(a, "running") for a in _there(story, name)))
+        first = running.pop(0).live[0]
+        story.beat(first.machine.name, listed(first, "ended", "done"))
+        story.block.close_job(first.work.job.ref, story.now)
+        running.append(story.submit(number, cpus=2.0, gang=True))
+        running = [work for work in running if work.live]
+        if large.live:
+            break
+    assert len(large.live) == 2
+
+
+def _there(story: Story, name: str) -> list[Attempt]:
+    return list(story.block.machines[name].attempts.values())
