--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -10,6 +10,7 @@
 from basaltlead.core.model import US, Job, Machine, Work, allowed
 
 MARGIN = 0.85  # of the time left: guesses are often wrong by half
+BEGIN_US = 60 * US  # a job that has waited for so long is to begin, however late it is due
 LATE_US = 120 * US  # a job that can't be in time any more is to be done within that
 
 
@@ -42,6 +43,8 @@
     for _, work in dated:
         size = work.job.size
         live = sum(1 for a in work.live.values() if a.grace is None)
+        if now - work.asked_at > BEGIN_US:
+            live = max(live, 1)  # nobody waits for ever: it takes part in the auction from now on
         count = min(work.remaining, max(live, int(rate / size + 0.999)))
         out[work.job.ref] = count
         rate = max(0.0, rate - count * size)
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -28,8 +28,12 @@
 
 
 class Market:
-    def __init__(self, terms: Terms, teams: list[str], targets: dict[str, int]) -> None:
+    def __init__(
+        self, terms: Terms, teams: list[str], targets: dict[str, int],
+        starts: dict[str, int] | None = None,
+    ) -> None:  # fmt: skip
         self.terms = terms
+        self.starts = starts or {}  # by class: within how long its tasks should have started
         self.budgets = {team: Budget(terms.budget, terms.refill_us, terms.budget) for team in teams}
         self.targets = targets  # by class: within how long its jobs should be finished
         self.trends: dict[str, Trend] = {}
@@ -48,11 +52,15 @@
         return TeamRecord(round(self.budgets[team].left, 3), dict(list(bids.items())[:60]))
 
     def due_us(self, work: Work) -> int | None:
-        """When the job should be done: its own deadline, or what its class is promised."""
-        if work.job.due_us is not None:
-            return work.asked_at + work.job.due_us
-        target = self.targets.get(work.job.lane)
-        return None if target is None else work.asked_at + target
+        """When the job should be done: its own deadline, or what its class is promised. Tasks
+        of an array that must all have started by then are done a run later."""
+        job = work.job
+        spans = [] if job.due_us is None else [job.due_us]
+        if job.due_us is None and job.lane in self.targets:
+            spans.append(self.targets[job.lane])
+        if not job.gang and job.lane in self.starts:
+            spans.append(self.starts[job.lane] + job.guess_us)
+        return work.asked_at + min(spans) if spans else None
 
     def first_bid(self, work: Work, now: int) -> float:
         """A new job bids what gets it the wanted slots at the present price."""
@@ -128,10 +136,10 @@
         block.dirty = True
 
 
-def targets_of(objectives: list[tuple[str, str, int]]) -> dict[str, int]:
-    """The tightest finish promised to each class."""
+def targets_of(kind: str, objectives: list[tuple[str, str, int]]) -> dict[str, int]:
+    """The tightest promise of a kind (`finished` or `wait`) to each class."""
     out: dict[str, int] = {}
-    for kind, lane, within_us in objectives:
-        if kind == "finished" and within_us > 0:
+    for one, lane, within_us in objectives:
+        if one == kind and within_us > 0:
             out[lane] = min(within_us, out.get(lane, within_us))
     return out
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -120,8 +120,11 @@
             int(op.round_s * US), int(op.refill_s * US), op.budget / op.blocks,
             op.reserve_price, op.threshold,
         )  # fmt: skip
-        targets = targets_of([(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives])
-        market = Market(terms, [t.name for t in facts.teams], targets)
+        aims = [(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives]
+        market = Market(
+            terms, [t.name for t in facts.teams],
+            targets_of("finished", aims), targets_of("wait", aims),
+        )  # fmt: skip
         owner = Owner(
             self.settings, self.member, self.state, number, grant, stamp, market, self.kinds
         )
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -40,9 +40,6 @@
         self.sequence = 0
         self.pending: dict[str, list[Machine]] = {}  # hires without an answer so far
         self.dark: dict[str, int] = {}  # zones of which nothing is heard, to be avoided until when
-        self.waits = {
-            o.lane: int(o.within_s * US) for o in settings.facts.objectives if o.kind == "wait"
-        }
 
     def start(self) -> None:
         for name, stored in list(self.owner.hires.items()):
@@ -87,7 +84,7 @@
     def spares(self, now: int) -> list[Spare]:
         """Room for jobs whose class is promised a start sooner than a machine boots."""
         out = []
-        for lane, within in self.waits.items():
+        for lane, within in self.market.starts.items():
             seen = self.owner.lanes.get(lane)
             if seen is None:
                 continue
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -301,3 +301,38 @@
         assert len(workers.pools) <= 4
 
     play(story)
+
+
+def test_nobody_starves_behind_a_stream_of_higher_work_on_a_fleet_that_is_too_small() -> None:
+    """A best-effort array of 1,000 tasks begins within four minutes, and goes on."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 3
+        await world.start()
+        await world.submit(world.job(1, Pieces=1000, Rank="best_effort", RunS=4.0, DueS=3000.0))
+
+        async def stream() -> None:
+            for number in range(2, 200):
+                await world.submit(world.job(number, Pieces=8, RunS=4.0, GuessS=4.0, DueS=60.0))
+                await asyncio.sleep(4.0)
+
+        async def gangs() -> None:
+            for number in range(300, 400):
+                await world.submit(
+                    world.job(number, Shape="group", Pieces=2, Cores=2.0, Rank="high", RunS=8.0)
+                )
+                await asyncio.sleep(25.0)
+
+        streams = [loop.create_task(stream()), loop.create_task(gangs())]
+        await world.until(
+            lambda: any(task.startswith("req-000001/") for task in world.referee.on), seconds=240
+        )
+        await asyncio.sleep(300)
+        for one in streams:
+            one.cancel()
+        done = sum(1 for task in world.referee.results if task.startswith("req-000001/"))
+        assert done > 50
+        world.verdict()
+
+    play(story)
