--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -18,6 +18,7 @@
     budget: float
     reserve: float
     threshold: float
+    most_bids: int = 200  # that fit into a stored record
 
 
 class TeamRecord(Struct):
@@ -49,7 +50,9 @@
 
     def record(self, team: str, works: dict[str, Work]) -> TeamRecord:
         bids = {w.job.ref: round(w.bid, 4) for w in works.values() if w.job.team == team}
-        return TeamRecord(round(self.budgets[team].left, 3), dict(list(bids.items())[:60]))
+        most = self.terms.most_bids  # a value's size is limited; first the highest, which say most
+        kept = sorted(bids, key=lambda ref: -bids[ref])[:most]
+        return TeamRecord(round(self.budgets[team].left, 3), {ref: bids[ref] for ref in kept})
 
     def due_us(self, work: Work) -> int | None:
         """When the job should be done: its own deadline, or what its class is promised. Tasks
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -30,6 +30,7 @@
 from basaltlead.wire.state import Put
 from basaltlead.wire.workers import Elsewhere, Report
 
+BID_BYTES = 32  # what a bid takes of a stored record at most
 RESERVED_SOCKETS = 70  # for our own calls to state service, cloud and peers
 
 report_decoder = msgspec.json.Decoder(Report)
@@ -118,7 +119,7 @@
         facts = self.settings.facts
         terms = Terms(
             int(op.round_s * US), int(op.refill_s * US), op.budget / op.blocks,
-            op.reserve_price, op.threshold,
+            op.reserve_price, op.threshold, int(facts.state.value_kb * 1024 * 0.8 / BID_BYTES),
         )  # fmt: skip
         aims = [(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives]
         market = Market(
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -526,6 +526,8 @@
                     self.flushed_at[work.job.ref] = now
                     self.stored_running[work.job.ref] = shown
                     await self._store(self._progress(work))
+                    if any(w.complete and not w.closed for w in works):
+                        break  # users wait for these; the others' results have time
 
     async def _store(self, storing: Coroutine[Any, Any, None]) -> None:
         try:
@@ -573,6 +575,8 @@
         self.block.stored(work, indices)
         log.info("job %s done after %.1f s", ref, (now_us() - work.asked_at) / US)
         self.close(ref)
+        for low in range(max(0, room), len(drops), room + 2):  # rows nobody reads any more
+            await self.state.multi(self.guards(), drops[low : low + room + 2])
 
     # Time
 
--- a/run.py
+++ b/run.py
@@ -14,6 +14,9 @@
     """Write the byte-code of the package, its libraries and the standard library's part we use."""
     import compileall
 
+    # The build's environment may forbid byte-code: each start would then compile the standard
+    # library's part anew, which took half a second of a controller's third of a core.
+    sys.dont_write_bytecode = False
     done = True
     for folder in (ROOT / "basaltlead", ROOT / "target" / "deps"):
         done = compileall.compile_dir(folder, quiet=2) and done
--- /dev/null
+++ b/tests/test_build.py
@@ -0,0 +1,21 @@
+"""The build step: what it must leave under target/ for starts to be cheap."""
+
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def test_the_build_writes_byte_code_even_where_the_environment_forbids_it(tmp_path: Path) -> None:
+    """Without it each start compiled the standard library's part anew."""
+    shutil.copy(ROOT / "run.py", tmp_path)
+    shutil.copytree(ROOT / "basaltlead", tmp_path / "basaltlead")
+    env = os.environ | {"PYTHONDONTWRITEBYTECODE": "1"}
+    subprocess.run(
+        [sys.executable, "run.py", "--precompile"], cwd=tmp_path, env=env, check=True, timeout=120
+    )
+    written = {path.name.partition(".")[0] for path in tmp_path.rglob("target/pycache/**/*.pyc")}
+    assert {"base_events", "node", "owner"} <= written
