--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -631,6 +631,7 @@
         while True:
             now = now_us()
             self.market.round(self.block, now)
+            self._say_round()
             self.wake.set()
             if self.acts:
                 puts: list[Put | Drop] = [
@@ -642,6 +643,17 @@
                     await self._store(self._store_teams(puts[low : low + most]))
             await asyncio.sleep(self.market.terms.round_us / US)
 
+    def _say_round(self) -> None:
+        """One line a round: how full the fleet is, and what waits."""
+        up = [m for m in self.block.machines.values() if m.synced]
+        works = [w for w in self.block.works.values() if not w.closed]
+        log.info(
+            "round: %d jobs, %.0f of %.0f CPUs in use, %.0f wait, %d machines up, %d not needed",
+            len(works), sum(used[0] for used in self.block.team_used.values()),
+            sum(m.kind.cpus for m in up), sum(w.waiting * w.job.cpus for w in works),
+            len(up), sum(1 for m in up if not m.wanted),
+        )  # fmt: skip
+
     async def _store_teams(self, puts: list[Put | Drop]) -> None:
         await self.state.multi(self.guards(), puts)
 
