--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -317,6 +317,7 @@
     def _new_session(self, machine: Machine, session: int, now: int) -> None:
         known = machine.session
         if known:  # what ran in the old session was killed when it ended
+            self.log(f"machine {machine.name}: lease over, {len(machine.attempts)} tasks lost")
             for attempt in list(machine.attempts.values()):
                 if attempt.there or attempt.flying:
                     self._remove(attempt, now)
--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from basaltlead.core.model import US, Job, Machine, Work, allowed
 
@@ -14,10 +15,20 @@
 LATE_US = 120 * US  # a job that can't be in time any more is to be done within that
 
 
+class Due(NamedTuple):
+    """When a job should be done, if it was promised that; late if it can't be any more."""
+
+    at: int | None
+    late: bool = False
+
+
+NO_DUE = Due(None)
+
+
 def counts(
     works: Iterable[Work],
     now: int,
-    due_us: Callable[[Work], int | None],
+    due_of: Callable[[Work, int], Due],
     guess_us: Callable[[Work], int],
     lead_us: int,
 ) -> dict[str, int]:
@@ -25,20 +36,20 @@
     out: dict[str, int] = {}
     dated: list[tuple[int, Work]] = []
     for work in works:
-        due = due_us(work)
-        if work.job.gang or due is None:
+        due = due_of(work, now)
+        if work.job.gang or due == NO_DUE:
             out[work.job.ref] = work.remaining
-        else:
-            dated.append((due, work))
+        else:  # no hurry is worth its price to a job that is late
+            each = guess_us(work)
+            at = due.at if due.at is not None else now + max(2 * each, LATE_US)
+            dated.append((at, work))
     dated.sort(key=lambda pair: (pair[0], pair[1].asked_at))
     total = 0.0
     rate = 0.0
-    for due, work in dated:
+    for at, work in dated:
         each = guess_us(work)
         total += load(work, each, now)
-        left = int((due - now) * MARGIN) - (0 if work.live else lead_us)
-        if left < each * 3 // 4:  # late already: no hurry is worth its price any more
-            left = max(2 * each, LATE_US)
+        left = int((at - now) * MARGIN) - (0 if work.live else lead_us)
         rate = max(rate, total / max(left, each, US))
     for _, work in dated:
         size = work.job.size
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -1,15 +1,28 @@
 """The rounds: budgets are refilled, bids follow progress, the auction gives out slots."""
 
+from collections.abc import Iterable
+from typing import Protocol
+
 from msgspec import Struct
 
 from basaltlead.core.auction import Bid, clear, price
 from basaltlead.core.bidding import Budget, Trend, ceiling, vertical
 from basaltlead.core.block import Block
+from basaltlead.core.demand import NO_DUE, Due
 from basaltlead.core.model import US, Work
 
 SMOOTH = 0.5  # weight of the newest round in the measured rate
 
 
+class Objective(Protocol):
+    """An aim on starting or finishing, as the settings give it."""
+
+    kind: str
+    lane: str
+    within_s: float
+    times: float
+
+
 class Terms(Struct, frozen=True):
     """What operators may set."""
 
@@ -21,6 +34,30 @@
     most_bids: int = 200  # that fit into a stored record
 
 
+class Promises(Struct, frozen=True):
+    """What classes of jobs are promised, by class; the tightest first."""
+
+    starts: dict[str, list[int]] = {}  # within how long tasks should have started
+    finishes: dict[str, list[int]] = {}  # within how long a job should be done
+    times: dict[str, list[float]] = {}  # of its deadline, by which a job should be done
+
+    @staticmethod
+    def of(objectives: Iterable[Objective]) -> "Promises":
+        starts: dict[str, list[int]] = {}
+        finishes: dict[str, list[int]] = {}
+        times: dict[str, list[float]] = {}
+        for one in objectives:
+            if one.kind == "deadline":
+                times.setdefault(one.lane, []).append(one.times)
+            elif one.kind in ("wait", "finished") and one.within_s > 0:
+                spans = starts if one.kind == "wait" else finishes
+                spans.setdefault(one.lane, []).append(int(one.within_s * US))
+        for table in (starts, finishes, times):
+            for values in table.values():
+                values.sort()
+        return Promises(starts, finishes, times)
+
+
 class TeamRecord(Struct):
     """What is stored for each team each round, so that a new leader goes on from it."""
 
@@ -29,14 +66,10 @@
 
 
 class Market:
-    def __init__(
-        self, terms: Terms, teams: list[str], targets: dict[str, int],
-        starts: dict[str, int] | None = None,
-    ) -> None:  # fmt: skip
+    def __init__(self, terms: Terms, teams: list[str], promises: Promises) -> None:
         self.terms = terms
-        self.starts = starts or {}  # by class: within how long its tasks should have started
+        self.promises = promises
         self.budgets = {team: Budget(terms.budget, terms.refill_us, terms.budget) for team in teams}
-        self.targets = targets  # by class: within how long its jobs should be finished
         self.trends: dict[str, Trend] = {}
         self.old_bids: dict[str, float] = {}
         self.price = 0.0
@@ -54,16 +87,25 @@
         kept = sorted(bids, key=lambda ref: -bids[ref])[:most]
         return TeamRecord(round(self.budgets[team].left, 3), {ref: bids[ref] for ref in kept})
 
-    def due_us(self, work: Work) -> int | None:
-        """When the job should be done: its own deadline, or what its class is promised. Tasks
-        of an array that must all have started by then are done a run later."""
+    def due(self, work: Work, now: int) -> Due:
+        """When the job should be done: the first of its deadline and what its class is promised
+        that it can still keep. Tasks of an array that must all have started by then are done a
+        run later."""
         job = work.job
-        spans = [] if job.due_us is None else [job.due_us]
-        if job.due_us is None and job.lane in self.targets:
-            spans.append(self.targets[job.lane])
-        if not job.gang and job.lane in self.starts:
-            spans.append(self.starts[job.lane] + job.guess_us)
-        return work.asked_at + min(spans) if spans else None
+        spans: list[int] = []
+        if job.due_us is not None:
+            spans = [int(job.due_us * times) for times in self.promises.times.get(job.lane, [1.0])]
+        else:
+            spans = list(self.promises.finishes.get(job.lane, ()))
+        if not job.gang:
+            spans += [span + job.guess_us for span in self.promises.starts.get(job.lane, ())]
+        if not spans:
+            return NO_DUE
+        each = work.ran_us // work.ran_count if work.ran_count >= 3 else job.guess_us
+        for span in sorted(spans):
+            if now + each * 3 // 4 <= work.asked_at + span:
+                return Due(work.asked_at + span)
+        return Due(None, late=True)
 
     def first_bid(self, work: Work, now: int) -> float:
         """A new job bids what gets it the wanted slots at the present price."""
@@ -77,7 +119,9 @@
         budget = self.budgets.get(work.job.team)
         if budget is None:
             return self.terms.reserve
-        due = self.due_us(work)
+        # A job that can keep no promise any more bids like one that was given none. With its
+        # budget over the time left, which is none, it outbid all that could still be in time.
+        due = self.due(work, now).at
         span = self.terms.refill_us if due is None else max(self.terms.round_us, due - now)
         return ceiling(budget.left, span, self.terms.round_us)
 
@@ -94,7 +138,7 @@
             rate = work.finished_recent / (span / US)
             work.finished_recent = 0
             work.rate = work.rate * (1 - SMOOTH) + rate * SMOOTH
-            due = self.due_us(work)
+            due = self.due(work, now).at
             if due is not None:
                 left_s = max(1.0, (due - now) / US)
                 value, wanted = work.rate, work.remaining / left_s
@@ -137,12 +181,3 @@
         for work in works:
             work.slots = slots[work.job.ref]
         block.dirty = True
-
-
-def targets_of(kind: str, objectives: list[tuple[str, str, int]]) -> dict[str, int]:
-    """The tightest promise of a kind (`finished` or `wait`) to each class."""
-    out: dict[str, int] = {}
-    for one, lane, within_us in objectives:
-        if one == kind and within_us > 0:
-            out[lane] = min(within_us, out.get(lane, within_us))
-    return out
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -18,20 +18,16 @@
     return {zone for zone in zones if held[zone] < job.zone_cap}
 
 
-def tier(job: Job, machine: Machine, room: Room, larger: Job | None = None) -> tuple[int, ...]:
-    """Lower is better. A machine the fleet does not need is left to empty; room in which a larger
-    task that waits would fit is filled last; spot machines are filled before ordinary ones, so
-    that the dear ones empty first when there is less to do; one that has the image starts the
-    task at once; one that has work stays rented anyway. A gang fills machines and waits as a
-    whole for the slowest fetch: for it the image comes first."""
+def tier(job: Job, machine: Machine) -> tuple[int, int, int, int]:
+    """Lower is better. A machine the fleet does not need is left to empty; spot machines are
+    filled before ordinary ones, so that the dear ones empty first when there is less to do; one
+    that has the image starts the task at once; one that has work stays rented anyway. A gang
+    fills machines and waits as a whole for the slowest fetch: for it the image comes first."""
     image = 0 if job.image in machine.images else 1
     wanted = 0 if machine.wanted else 1
     dear = 0 if machine.spot else 1
     busy = 0 if machine.attempts else 1
-    if job.gang:
-        return (image, wanted, dear, busy)
-    spoils = 1 if larger is not None and room.fits(larger) else 0
-    return (wanted, spoils, dear, image, busy)
+    return (image, wanted, dear, busy) if job.gang else (wanted, dear, image, busy)
 
 
 def fetch_cost(job: Job, machine: Machine) -> float:
@@ -45,15 +41,11 @@
     """Machines for tasks of one job, best first: the least booked bids within the best tier (the
     paper's worst fit). Made in one pass; each task then costs no more than a step in a heap."""
 
-    def __init__(
-        self, job: Job, machines: Iterable[Machine], rooms: dict[str, Room],
-        larger: Job | None = None,
-    ) -> None:  # fmt: skip
+    def __init__(self, job: Job, machines: Iterable[Machine], rooms: dict[str, Room]) -> None:
         self.job = job
         self.rooms = rooms
-        self.larger = larger  # whose tasks wait too, and need more room
         self.heap = [
-            (tier(job, m, rooms[m.name], larger), m.booked, m.name, m)
+            (tier(job, m), m.booked, m.name, m)
             for m in machines
             if rooms[m.name].fits(job)
             and not m.crowded
@@ -72,10 +64,8 @@
         """A task was bound to it: rank it anew while it holds another."""
         if self.heap and self.heap[0][3] is machine:
             heappop(self.heap)
-        room = self.rooms[machine.name]
-        if room.fits(self.job) and not machine.crowded:
-            rank = tier(self.job, machine, room, self.larger)
-            heappush(self.heap, (rank, machine.booked, machine.name, machine))
+        if self.rooms[machine.name].fits(self.job) and not machine.crowded:
+            heappush(self.heap, (tier(self.job, machine), machine.booked, machine.name, machine))
 
 
 def loss(attempt: Attempt, now: int) -> float:
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -66,7 +66,6 @@
         self.zones = {machine.zone for machine in self.usable}
         self.rooms = {machine.name: machine.room(staying=True) for machine in self.usable}
         self.unsure = block.strangers  # may tasks run that nobody accounts for?
-        self.largest: Job | None = None  # of the arrays that wait, the one with the largest tasks
         self.kept: set[str] = set()  # machines that are kept free for a gang
         self.hopeless: set[tuple[object, ...]] = set()  # what found no room in this plan
         for machine in self.usable:
@@ -76,8 +75,6 @@
         if not self.usable:
             return
         works = order(self.block, self.now)
-        arrays = [work.job for work in works if not work.job.gang]
-        self.largest = max(arrays, key=lambda job: job.size, default=None)
         for work in works:
             if work.job.gang:
                 self._gang(work)
@@ -127,7 +124,7 @@
             return
         suited = self._suited(work)
         open_zones = placement.zones_open(work, self.zones)
-        ranking = placement.Ranking(job, suited, self.rooms, self._larger(work))
+        ranking = placement.Ranking(job, suited, self.rooms)
         cleared = 0
         for _ in range(min(limit, MOST_STARTS)):
             if not self._within_limit(job):
@@ -158,12 +155,6 @@
                 self.rooms[machine.name] = machine.room(staying=True)
             ranking.again(machine)
 
-    def _larger(self, work: Work) -> Job | None:
-        """The largest task that waits beside the job's own, if it is larger: small tasks that
-        spread over all machines else leave no whole place to it, however much is free."""
-        largest = self.largest
-        return largest if largest is not None and largest.size > work.job.size * 1.5 else None
-
     def _start(self, work: Work, index: int, machine: Machine, token: int) -> None:
         self.block.start(work, index, machine, token, self.now)
         self.rooms[machine.name].take(work.job)
@@ -285,8 +276,7 @@
         chosen: tuple[Machine, list[Attempt]] | None = None
         for loss, machine, stops in self._openings(work, suited):
             cost = loss + placement.fetch_cost(job, machine)
-            rank = placement.tier(job, machine, self.rooms[machine.name])
-            key = (cost, rank, machine.booked, machine.name)
+            key = (cost, placement.tier(job, machine), machine.booked, machine.name)
             if best is None or key < best:
                 best, chosen = key, (machine, stops)
         if chosen is None:
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -14,7 +14,7 @@
 from basaltlead.clock import now_us
 from basaltlead.core.fleet import Shop
 from basaltlead.core.leadership import Grant
-from basaltlead.core.market import Market, Terms, targets_of
+from basaltlead.core.market import Market, Promises, Terms
 from basaltlead.core.model import US, Kind
 from basaltlead.frontdesk import FrontDesk, refusal
 from basaltlead.leasing import Leasing
@@ -121,11 +121,7 @@
             int(op.round_s * US), int(op.refill_s * US), op.budget / op.blocks,
             op.reserve_price, op.threshold, int(facts.state.value_kb * 1024 * 0.8 / BID_BYTES),
         )  # fmt: skip
-        aims = [(o.kind, o.lane, int(o.within_s * US)) for o in facts.objectives]
-        market = Market(
-            terms, [t.name for t in facts.teams],
-            targets_of("finished", aims), targets_of("wait", aims),
-        )  # fmt: skip
+        market = Market(terms, [t.name for t in facts.teams], Promises.of(facts.objectives))
         owner = Owner(
             self.settings, self.member, self.state, number, grant, stamp, market, self.kinds
         )
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -63,7 +63,7 @@
         wanted = demand.counts(
             works,
             now,
-            self.market.due_us,
+            self.market.due,
             block.guess_us,
             self._lead_us(),
         )
@@ -84,7 +84,7 @@
     def spares(self, now: int) -> list[Spare]:
         """Room for jobs whose class is promised a start sooner than a machine boots."""
         out = []
-        for lane, within in self.market.starts.items():
+        for lane, (within, *_) in self.market.promises.starts.items():
             seen = self.owner.lanes.get(lane)
             if seen is None:
                 continue
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -496,17 +496,3 @@
 
 def _there(story: Story, name: str) -> list[Attempt]:
     return list(story.block.machines[name].attempts.values())
-
-
-def test_small_tasks_leave_whole_places_to_larger_ones_that_wait() -> None:
-    story = Story(machines=2)
-    first = story.submit(1, rank=1)
-    other = next(m for m in story.block.machines.values() if m is not first.live[0].machine)
-    other.keep_image("small", 1.0)  # it would start the small tasks sooner
-    for job in (
-        a_job(2, tasks=3, rank=1, image="small"), a_job(3, cpus=4.0, rank=0),
-    ):  # fmt: skip
-        story.block.add_job(job, 200, story.now)
-    plan(story.block, story.now)
-    small, large = story.block.works["req-000002"], story.block.works["req-000003"]
-    assert len(small.live) == 3 and large.live[0].machine is other
--- /dev/null
+++ b/tests/test_market.py
@@ -0,0 +1,49 @@
+"""Bids: what moves them, and what a job that can keep no promise any more may bid."""
+
+from basaltlead.core.block import Block, Limits, Timing
+from basaltlead.core.market import Market, Promises, Terms
+from basaltlead.core.model import US, Job, Work
+from basaltlead.settings import Objective
+from tests.test_block import a_job
+
+TERMS = Terms(10 * US, 300 * US, 1000.0, 0.01, 0.05)
+
+
+def _market(*objectives: Objective) -> Market:
+    return Market(TERMS, ["red"], Promises.of(objectives))
+
+
+def _work(job: Job) -> Work:
+    return Work(job, 1, 0, 0)
+
+
+def test_a_job_is_due_by_the_first_promise_that_it_can_still_keep() -> None:
+    market = _market(
+        Objective("deadline", "lane", times=1.5), Objective("deadline", "lane", times=1.0)
+    )
+    work = _work(a_job(tasks=4, due_us=100 * US, guess_us=20 * US))
+    assert market.due(work, 0).at == 100 * US
+    assert market.due(work, 90 * US).at == 150 * US  # a task takes 20 s: the first is lost
+    assert market.due(work, 140 * US).late
+    gang = _work(a_job(gang=True))
+    assert market.due(gang, 0).at is None and not market.due(gang, 0).late
+
+
+def test_tasks_that_must_start_are_due_a_run_later() -> None:
+    market = _market(
+        Objective("wait", "lane", within_s=60.0), Objective("finished", "lane", within_s=300.0)
+    )
+    work = _work(a_job(tasks=4, guess_us=20 * US))
+    assert market.due(work, 0).at == 80 * US
+    assert market.due(work, 70 * US).at == 300 * US
+
+
+def test_a_late_job_does_not_outbid_those_that_can_be_in_time() -> None:
+    """All late jobs once bid their team's whole budget, and made the others late too."""
+    market = _market()
+    block = Block(1, 1, 0, Timing(10 * US, US), {"red": Limits()})
+    late = block.add_job(a_job(1, tasks=50, due_us=30 * US), 1, 0)
+    hasty = block.add_job(a_job(2, tasks=50, due_us=200 * US), 1, 0)
+    for second in range(10, 160, 10):
+        market.round(block, second * US)
+    assert hasty.bid > late.bid > 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -95,8 +95,8 @@
     late = story.block.add_job(a_job(1, tasks=4, due_us=3000 * US), 200, story.now)
     hasty = story.block.add_job(a_job(2, tasks=400, due_us=30 * US), 200, story.now)
 
-    def due(work: Work) -> int:
-        return work.asked_at + (work.job.due_us or 0)
+    def due(work: Work, now: int) -> demand.Due:
+        return demand.Due(work.asked_at + (work.job.due_us or 0))
 
     def wanted() -> dict[str, int]:
         return demand.counts([late, hasty], story.now, due, story.block.guess_us, 0)
