--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -31,6 +31,8 @@
         self.refused: set[str] = set()
         self.event = asyncio.Event()
         self.writes = 0
+        self.slowness = 1.0  # how many times as long as usual its answers take
+        self.chance = random.Random(1)
 
     async def start(self) -> None:
         server = Server(self.handle, 1000)
@@ -66,7 +68,8 @@
         self.holds = {hold: (now + ttl, ttl) for hold, (_, ttl) in self.holds.items()}
 
     async def handle(self, request: Request) -> Response:
-        await asyncio.sleep(0.002)
+        rare = 0.2 if self.chance.random() < 0.01 else 0.002
+        await asyncio.sleep((rare if self.slowness > 1 else 0.002) * self.slowness)
         query = {k: v[0] for k, v in parse_qs(request.query).items()}
         path = request.path
         if path == "/changes":
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.fakes import FakeWorker, World
+from tests.fakes import FakeCloud, FakeState, FakeWorker, World
 from tests.world import Loop, play
 
 
@@ -118,23 +118,21 @@
 
 def test_controllers_that_are_back_at_once_in_mid_election_keep_the_rules() -> None:
     async def story(loop: Loop) -> None:
-        for _ in range(1):
-            world = World(loop, seed=5)
-            world.copies = 0.3
-            owner = await world.busy(6, 60.0)
-            for number in range(2, 6):
-                await world.submit(world.job(number, Pieces=3, RunS=10.0))
-            for moment in range(12):
-                name = world.nodes[moment % 3] if moment % 2 else owner
-                if name in world.running:
-                    world.crash(name)
-                await asyncio.sleep(0.15)
-                world.boot(name)
-                await asyncio.sleep(0.4 + 0.3 * (moment % 4))
-                world.owner()  # never two
-                world.referee.check()
-            await world.until_done(*[f"req-{n:06d}" for n in range(1, 6)], seconds=200)
-            world.verdict()
+        world = World(loop, seed=5)
+        world.copies = 0.3
+        owner = await world.busy(6, 60.0)
+        for number in range(2, 6):
+            await world.submit(world.job(number, Pieces=3, RunS=10.0))
+        for moment in range(12):
+            name = world.nodes[moment % 3] if moment % 2 else owner
+            world.crash(name)
+            await asyncio.sleep(0.15)
+            world.boot(name)
+            await asyncio.sleep(0.4 + 0.3 * (moment % 4))
+            world.owner()  # never two
+            world.referee.check()
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 6)], seconds=200)
+        world.verdict()
 
     play(story)
 
@@ -167,3 +165,52 @@
         world.verdict()
 
     play(story)
+
+
+def test_a_slow_state_service_costs_no_owner_its_right_and_peers_that_refuse_nobody_anything() -> (
+    None
+):
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(6, 60.0)
+        starts = world.referee.starts
+        listeners = {a: world.net.listeners.pop(a) for a in list(world.net.listeners)
+                     if a[1] == 8081}  # fmt: skip
+        assert len(listeners) == 3
+        world.state.slowness = 10.0
+        for number in range(2, 12):
+            await world.submit(world.job(number, RunS=2.0))
+            await asyncio.sleep(3)
+            assert world.owner() == owner
+        world.state.slowness = 1.0
+        world.net.listeners.update(listeners)
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 12)], seconds=100)
+        assert world.referee.starts == starts + 10  # each task was started once
+        assert sorted(world.running) == world.nodes
+        assert not any(task.done() for task in world.running.values())
+        world.verdict()
+
+    play(story)
+
+
+def test_a_zone_that_is_cut_off_with_its_controller_runs_nothing_twice() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(8, 60.0)
+        inside = [m for m in world.cloud.machines.values() if m.zone == "a"]
+        outside = [FakeState.HOST, FakeCloud.HOST, "10.9.9.9"]
+        outside += [world.host(name) for name in world.nodes if name != owner]
+        hosts = [world.host(owner), *(m.host for m in inside)]
+        for near in hosts:
+            for far in outside:
+                world.net.cut(near, far)
+        await world.until(lambda: world.owner() not in (None, owner), seconds=20)
+        await asyncio.sleep(3 * FakeWorker.LEASE)
+        assert not any(m.tasks for m in inside)  # nobody renews their leases
+        for near in hosts:
+            for far in outside:
+                world.net.heal(near, far)
+        await world.until_done("req-000001", seconds=200)
+        world.verdict()
+
+    play(story)
