--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -6,7 +6,9 @@
 
 from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Room, Work, allowed
 
-WORTH = 1.6  # a machine must be of use for more than half as long again as it boots
+# For how long a machine must be of use, in boots. Spot machines are cheap enough to be there early
+# and to wait for work; ordinary ones are for backlogs that outlast their boots.
+WORTH, SPOT_WORTH = 2.4, 0.6
 STAY_US = 90 * US  # how long a machine is reckoned to be of use: boots are paid for too
 
 
@@ -144,7 +146,7 @@
                 or not allowed(job, offer.kind, offer.zone, offer.spot)
                 or (zones is not None and offer.zone not in zones)
                 or not kind.holds(job)
-                or kind.boot_us * WORTH > within_us
+                or kind.boot_us * (SPOT_WORTH if offer.spot else WORTH) > within_us
             ):
                 continue
             slots = min(kind.holds(job), max(1, count))
