--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -130,7 +130,7 @@
 
     async def keep(self) -> None:
         """Join, touch, and join anew whenever the hold is lost."""
-        backoff = Backoff(200_000, 2_000_000, self.chance)
+        backoff = Backoff(200_000, 600_000, self.chance)  # users are refused meanwhile
         while True:
             try:
                 if not self.stamp:
