--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,26 @@
+"""What is rented for what waits."""
+
+from basaltlead.core import fleet
+from basaltlead.core.fleet import Need, Offer
+from basaltlead.core.model import US
+from tests.test_block import KIND, Story, a_job
+
+BOTH: dict[Offer, int | None] = {Offer("k", "a", True): None, Offer("k", "a", False): None}
+
+
+def _hired(drain_us: float, offers: dict[Offer, int | None]) -> list[bool]:
+    """Whether spot or ordinary, what is hired for a job of 40 tasks while all that is rented
+    would need so long for what waits."""
+    story = Story(machines=0)
+    work = story.block.add_job(a_job(tasks=40), 200, story.now)
+    needs = [Need(work, 40, drain_us)]
+    return [offer.spot for offer in fleet.size(needs, [], [], {"k": KIND}, offers, {}, 12).hires]
+
+
+def test_spot_machines_are_hired_early_and_ordinary_ones_for_lasting_backlogs() -> None:
+    assert KIND.boot_us == 5 * US
+    assert _hired(2 * US, BOTH) == []  # done before any comes up
+    assert _hired(5 * US, BOTH) == [True] * 10
+    two_spots = BOTH | {Offer("k", "a", True): 2}
+    assert _hired(5 * US, two_spots) == [True] * 2
+    assert _hired(60 * US, two_spots) == [True] * 2 + [False] * 8
