--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -21,8 +21,9 @@
 from basaltlead.logs import Brake, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response, Server
-from basaltlead.owner import Owner, limits_of, worker_sockets
+from basaltlead.owner import Owner, limits_of
 from basaltlead.peers import Peers
+from basaltlead.reach import worker_sockets
 from basaltlead.records import HIRE, LEASE, MACHINE, OPEN, TYPES, kind_of
 from basaltlead.renting import Renting
 from basaltlead.settings import Settings
@@ -164,9 +165,9 @@
         report_us = owner.block.timing.report_us
         patience = max(3 * US, int(report_us * 2.5))
         machines = owner.block.machines.values()
-        if owner.heard_at:
+        if owner.reach.heard_at:
             known = sum(1 for m in machines if m.synced and not m.lost and not m.deleting)
-            return known > 1 and now - owner.heard_at > patience
+            return known > 1 and now - owner.reach.heard_at > patience
         return len(owner.block.risky) > 1 and now - owner.block.took_at > 9 * US + report_us
 
     async def _types(self) -> None:
--- /dev/null
+++ b/basaltlead/reach.py
@@ -0,0 +1,168 @@
+"""The direct ways to a block's machines: orders that can't wait for a report, questions whether a
+machine hears us, and the record that must stand before its first task."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from basaltlead.clients.state import TROUBLE, Conflict
+from basaltlead.clients.workers import Workers
+from basaltlead.clock import now_us, wall_us
+from basaltlead.core.block import Wish
+from basaltlead.core.model import US, Attempt, Machine
+from basaltlead.logs import log
+from basaltlead.net.http import Failed
+from basaltlead.records import MACHINE, StoredMachine
+from basaltlead.settings import Settings
+from basaltlead.wire.state import Guard, Put
+from basaltlead.wire.workers import Command, Order
+
+if TYPE_CHECKING:
+    from basaltlead.owner import Owner
+
+
+def order_of(wish: Wish) -> Order:
+    return Order(wish.verb, f"{wish.ref}/{wish.index}", wish.token, wish.grace_s)
+
+
+def worker_sockets(settings: Settings) -> int:
+    """How many of our sockets may go to workers; most are kept for those who come to us."""
+    return max(8, settings.facts.quota.fd_limit // 5)
+
+
+class Reach:
+    """Runs beside an Owner and ends with it."""
+
+    def __init__(self, owner: "Owner") -> None:
+        self.owner = owner
+        self.workers = Workers(worker_sockets(owner.settings))
+        self.pushing: set[str] = set()  # machines with direct orders under way
+        self.probing: set[str] = set()  # machines that are being asked whether they hear us
+        self.recording: set[str] = set()  # machines that are being written down
+        self.heard_at = 0  # the last word of any machine that shows our baton
+
+    def close(self) -> None:
+        for address in list(self.workers.pools):
+            self.workers.forget(address)
+
+    def push_all(self, now: int) -> None:
+        """Send what can't wait for the next report straight to the workers."""
+        for machine in self.owner.block.machines.values():
+            if machine.name in self.pushing or not machine.attempts or now < machine.quiet_until:
+                continue
+            wishes, flown = self.owner.block.direct(machine, now)
+            if wishes:
+                self.pushing.add(machine.name)
+                self.owner.spawn(self._push(machine, wishes, flown), f"push {machine.name}")
+
+    async def _push(self, machine: Machine, wishes: list[Wish], flown: list[Attempt]) -> None:
+        executed: bool | None = None
+        try:
+            orders = [order_of(wish) for wish in wishes]
+            command = Command(self.owner.grant.baton, machine.session, orders)
+            executed, report = await self.workers.command(machine.address, command)
+            if self.owner.resigned or report.machine != machine.name:
+                executed = None
+            else:
+                self.owner.block.answer(report, now_us(), flown if executed else ())
+        except Failed as fault:
+            log.debug("orders for %s: %s", machine.name, fault)
+            executed = None if fault.sent else False
+        finally:
+            self.pushing.discard(machine.name)
+            self.owner.block.landed(flown, executed)
+            if executed is not True:  # its reports still reach us, if it lives
+                machine.quiet_until = now_us() + 2 * US
+            if executed is None:
+                self.owner.block.doubt(machine, now_us())
+            self.owner.wake.set()
+
+    def record(self, machine: Machine) -> None:
+        """A machine must stand in the state service before its first task, so that the next
+        owner knows where tasks may be. Only one that has shown our baton: a late copy must not
+        bring back a machine that is gone."""
+        if machine.name not in self.recording:
+            self.recording.add(machine.name)
+            self.owner.spawn(self._store_machine(machine), f"record {machine.name}")
+
+    async def _store_machine(self, machine: Machine) -> None:
+        stored = StoredMachine(
+            machine.kind.name,
+            machine.zone,
+            machine.spot,
+            machine.address,
+            wall_us(),
+            self.owner.number,
+        )
+        try:
+            # Guarded on there being no such record: a machine belongs to the first block that
+            # writes it down.
+            guards = [*self.owner.guards(), Guard(MACHINE + machine.name, 0)]
+            await self.owner.state.multi(guards, [Put(MACHINE + machine.name, stored)])
+        except Conflict as conflict:
+            if MACHINE + machine.name not in conflict.failed or not await self._is_ours(machine):
+                return
+        except TROUBLE as fault:
+            log.info("recording %s: %s", machine.name, fault)
+            return  # its next report tries again
+        finally:
+            self.recording.discard(machine.name)
+        if not machine.deleting:
+            machine.recorded = True
+            self.owner.block.dirty = True
+            self.owner.wake.set()
+            log.info("machine %s (%s in %s) is up", machine.name, machine.kind.name, machine.zone)
+
+    async def _is_ours(self, machine: Machine) -> bool:
+        """Does the record that stands name this block? An unanswered write of ours may have
+        been executed. A machine of another block's is none of our business."""
+        try:
+            row = await self.owner.state.get(MACHINE + machine.name)
+        except TROUBLE:
+            return False
+        if row is None:
+            return False
+        if msgspec.json.decode(row.value, type=StoredMachine).block == self.owner.number:
+            return True
+        log.info("machine %s belongs to another block", machine.name)
+        self.owner.block.machines.pop(machine.name, None)
+        return False
+
+    def probe(self, machine: Machine) -> None:
+        """Ask a machine directly, so that it shows our baton before its next report, and that
+        our orders reach it."""
+        if machine.name not in self.probing and now_us() >= machine.quiet_until:
+            self.probing.add(machine.name)
+            self.owner.spawn(self._probe(machine), f"probe {machine.name}")
+
+    async def _probe(self, machine: Machine) -> None:
+        session = machine.session or 1
+        try:
+            for _ in range(6):
+                if (
+                    not self.owner.acts
+                    or self.owner.block.machines.get(machine.name) is not machine
+                ):
+                    return
+                try:
+                    command = Command(self.owner.grant.baton, session, [])
+                    executed, report = await self.workers.command(machine.address, command)
+                except Failed:
+                    if machine.name not in self.owner.block.risky:
+                        machine.quiet_until = now_us() + 2 * US
+                        return  # its next report asks again
+                    await asyncio.sleep(0.5)
+                    continue
+                if report.machine != machine.name:
+                    return
+                session = report.session
+                if executed and self.owner.acts:
+                    self.owner.block.answer(report, now_us())
+                    self.heard_at = now_us()
+                    if machine.synced and not machine.recorded:
+                        self.record(machine)
+                    self.owner.wake.set()
+                    return
+        finally:
+            self.probing.discard(machine.name)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -371,7 +371,7 @@
             now = now_us()
             dropped = [n for n in names if block.machines[n].recorded]
             for name in names:
-                self.owner.workers.forget(block.machines[name].address)
+                self.owner.reach.workers.forget(block.machines[name].address)
                 block.drop_machine(name, now)
             self.owner.wake.set()
             for low in range(0, len(dropped), self.settings.facts.state.txn_ops):
