--- /dev/null
+++ b/basaltlead/core/picture.py
@@ -0,0 +1,429 @@
+"""A block's owner's picture: which tasks are bound to which machines, and what the workers report.
+
+The picture of a machine is trusted only from reports that show our baton: the worker then drops
+every order of an earlier owner, so its list is complete but for our own orders.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from msgspec import Struct
+
+from basaltlead.core.model import US, Attempt, Job, Machine, Rest, Work
+
+TOKEN_BITS = 24  # attempts an owner can start under one baton: 16 million
+
+
+class Timing(Struct, frozen=True):
+    """Spans that the platform's settings prescribe."""
+
+    lease_us: int
+    report_us: int
+
+    @property
+    def lapse_us(self) -> int:
+        """After this long without an answer of ours a worker's lease is over for sure: the
+        lease, the drift of both clocks, and a margin for the resolution of timers."""
+        return self.lease_us + self.lease_us // 500 + 250_000
+
+
+class Limits(Struct, frozen=True):
+    """A team's guarantee and limit; 0: none."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus_max: float = 0.0
+
+    @property
+    def counted(self) -> bool:
+        """Must the tasks of the team be counted together at every instant?"""
+        return bool(self.cpus or self.gpus or self.cpus_max or self.gpus_max)
+
+
+class Seen(Protocol):
+    """A task in a worker's report."""
+
+    task: str
+    token: int
+    stage: str
+    why: str | None
+
+
+class Message(Protocol):
+    """A worker's report."""
+
+    machine: str
+    address: str
+    session: int
+    tick: int
+    baton: int
+    recall_s: float | None
+    tasks: list  # type: ignore[type-arg]
+
+
+class Picture:
+    """Jobs, attempts and machines of a block, and what reports say of them."""
+
+    def __init__(
+        self, baton: int, stamp: int, now: int, timing: Timing, teams: dict[str, Limits]
+    ) -> None:
+        self.baton = baton
+        self.stamp = stamp  # of the grant: jobs accepted later were never started by others
+        self.took_at = now
+        self.timing = timing
+        self.teams = teams
+        self.sequence = 0
+        self.machines: dict[str, Machine] = {}
+        self.risky: set[str] = set()  # machines that may hold tasks we do not know of
+        self.works: dict[str, Work] = {}
+        self.team_used: dict[str, list[float]] = {}
+        self.ratio: dict[str, float] = {}  # measured run time over the guess, by class
+        self.looked_at = 0  # when slow tasks were last looked for
+        self.dirty = True
+        self.gone: dict[str, None] = {}  # names of machines that are deleted (bounded)
+        self.log: Callable[[str], None] = lambda text: None
+
+    # Jobs
+
+    def add_job(self, job: Job, stamp: int, now: int, age_us: int = 0) -> Work:
+        work = self.works.get(job.ref)
+        if work is None:
+            work = self.works[job.ref] = Work(job, stamp, now, age_us)
+            self.dirty = True
+        return work
+
+    def close_job(self, ref: str, now: int) -> None:
+        """Cancelled, or over: nothing of it may start, and what is there must go."""
+        work = self.works.get(ref)
+        if work is None:
+            return
+        work.closed = True
+        for attempt in list(work.live.values()):
+            self.stop(attempt, 0.0)
+        self._prune(work)
+        self.dirty = True
+
+    def _prune(self, work: Work) -> None:
+        if work.closed and not work.live:
+            self.works.pop(work.job.ref, None)
+
+    def stored(self, work: Work, indices: Iterable[int]) -> None:
+        """These results are in the state service: their workers may forget them."""
+        work.unstored.difference_update(indices)
+
+    # Attempts
+
+    def start(self, work: Work, index: int, machine: Machine, token: int, now: int) -> Attempt:
+        attempt = Attempt(work, index, machine, token, now)
+        self._enlist(attempt)
+        return attempt
+
+    def _enlist(self, attempt: Attempt) -> None:
+        work = attempt.work
+        work.live[attempt.index] = attempt
+        attempt.machine.attempts[attempt.key] = attempt
+        attempt.machine.booked += work.bid
+        used = self.team_used.setdefault(work.job.team, [0.0, 0.0])
+        used[0] += work.job.cpus
+        used[1] += work.job.gpus
+
+    def _remove(self, attempt: Attempt, now: int) -> None:
+        """It is provably not on its machine (any more)."""
+        work = attempt.work
+        machine = attempt.machine
+        if work.live.pop(attempt.index, None) is None:
+            return
+        machine.attempts.pop(attempt.key, None)
+        if attempt.ran_at:
+            spent = machine.share(work.job) * (now - attempt.ran_at) / US
+            if work.is_done(attempt.index) or work.job.mark_every_us:
+                machine.useful += spent
+            else:
+                machine.wasted += spent
+        if not machine.attempts:
+            machine.idle_since = now
+        used = self.team_used[work.job.team]
+        used[0] -= work.job.cpus
+        used[1] -= work.job.gpus
+        if not work.closed and not work.is_done(attempt.index):
+            work.again.append(attempt.index)
+        self._prune(work)
+        self.dirty = True
+
+    def stop(self, attempt: Attempt, grace_s: float) -> None:
+        """Want it gone. One that was never sent is gone at once."""
+        if attempt.stage == "planned" and not attempt.flying:
+            self._remove(attempt, attempt.machine.idle_since)
+        elif attempt.grace is None or grace_s < attempt.grace:
+            attempt.grace = grace_s
+        self.dirty = True
+
+    def stop_softly(self, attempt: Attempt) -> None:
+        """Stop it so that its progress is saved if that can be; a gang's tasks go together."""
+        job = attempt.work.job
+        together = list(attempt.work.live.values()) if job.gang else [attempt]
+        running = job.mark_every_us > 0 and all(a.stage == "running" for a in together)
+        for one in together:
+            self.stop(one, job.mark_s if running else 0.0)
+
+    # Machines
+
+    def load_machine(self, machine: Machine) -> None:
+        """One that the state service lists as in use when we take the block."""
+        machine.recorded = True
+        self.machines[machine.name] = machine
+        self.risky.add(machine.name)
+
+    def add_machine(self, machine: Machine) -> None:
+        """One that can't hold any task yet."""
+        self.machines.setdefault(machine.name, machine)
+
+    def drop_machine(self, name: str, now: int) -> None:
+        """It is deleted: everything on it is gone."""
+        machine = self.machines.pop(name, None)
+        self.gone[name] = None
+        if machine is not None:
+            age = max(1, now - machine.made_at) / US
+            up = (now - machine.up_at) / US if machine.up_at else 0.0
+            self.log(
+                f"machine {name} ({machine.kind.name}{', spot' if machine.spot else ''}) returned: "
+                f"{age:.0f} s old, {up:.0f} s up, {machine.useful:.0f} s of use, "
+                f"{machine.wasted:.0f} s wasted, {machine.fetched:.0f} s of fetches"
+            )
+        while len(self.gone) > 1000:
+            del self.gone[next(iter(self.gone))]
+        if machine is not None:
+            self._empty(machine, now)
+
+    def _empty(self, machine: Machine, now: int) -> None:
+        for attempt in list(machine.attempts.values()):
+            self._remove(attempt, now)
+        machine.rest.clear()
+        self.risky.discard(machine.name)
+        self.dirty = True
+
+    def _lose(self, machine: Machine, now: int) -> None:
+        """Its lease has run out, so it has killed all its tasks. Reports of that session that
+        were held up on their way prove nothing any more."""
+        machine.lost = True
+        machine.synced = False
+        self.doubt(machine, now)
+        machine.asked_at = 0
+        machine.min_session = machine.session + 1 if machine.session else 0
+        machine.images.clear()
+        self._empty(machine, now)
+        self.log(f"machine {machine.name} lost")
+
+    @property
+    def strangers(self) -> bool:
+        """Is there, or may there be, a task on some machine that we do not account for?"""
+        return bool(self.risky) or any(
+            not rest.over for machine in self.machines.values() for rest in machine.rest.values()
+        )
+
+    # Reports
+
+    def hears(self, machine: Machine) -> None:
+        """Something proves that our orders reach it."""
+        if machine.deaf_since:
+            machine.deaf_since = 0
+            self.dirty = True
+
+    def doubt(self, machine: Machine, now: int) -> None:
+        """An order went unanswered, or its lease ran out although we answered: until something
+        proves that it hears us, nothing new is given to it, and nobody counts on it."""
+        machine.deaf_since = machine.deaf_since or now
+
+    def _new_session(self, machine: Machine, session: int, now: int) -> None:
+        known = machine.session
+        if known:  # what ran in the old session was killed when it ended
+            self.log(f"machine {machine.name}: lease over, {len(machine.attempts)} tasks lost")
+            for attempt in list(machine.attempts.values()):
+                if attempt.there or attempt.flying:
+                    self._remove(attempt, now)
+            machine.rest.clear()
+            machine.images.clear()
+            self.doubt(machine, now)
+        machine.session = session
+        machine.session_at = now
+        machine.min_session = max(machine.min_session, session)
+        machine.tick = machine.beat_tick = 0
+        machine.lost = False
+        machine.synced = False
+        machine.up = True
+
+    def _apply(
+        self, machine: Machine, report: Message, now: int, newest: bool, settles: bool
+    ) -> None:
+        """Take in a list of tasks from a report that shows our baton."""
+        listed: set[tuple[str, int, int]] = set()
+        for seen in report.tasks:
+            ref, _, number = seen.task.rpartition("/")
+            index = int(number)
+            listed.add((ref, index, seen.token))
+            if not newest:
+                continue
+            attempt = machine.attempts.get((ref, index))
+            if attempt is not None and attempt.token == seen.token:
+                if attempt.stage == "sent":
+                    self.hears(machine)
+                self._progress(attempt, seen, now)
+            else:
+                self._stranger(machine, ref, index, seen, now)
+        if settles:
+            for attempt in list(machine.attempts.values()):
+                if (*attempt.key, attempt.token) not in listed:
+                    self._unlisted(attempt, report.tick, now)
+        if newest:
+            for key in [key for key in machine.rest if key not in listed]:
+                del machine.rest[key]
+        if not machine.synced:
+            machine.synced = True
+            machine.up = True
+            machine.up_at = machine.up_at or now
+            self.risky.discard(machine.name)
+            self.dirty = True
+
+    def _unlisted(self, attempt: Attempt, tick: int, now: int) -> None:
+        """A report without an attempt of ours."""
+        if attempt.flying or attempt.loose or not attempt.there:
+            return  # an unanswered direct order binds its task to the machine
+        if attempt.sent_tick and attempt.sent_tick >= tick:
+            return  # the answer that carried the order came after this report
+        if attempt.stage == "sent" and attempt.grace is None:
+            attempt.stage = "planned"  # the answer was lost: the order goes out again
+            return
+        self._remove(attempt, now)
+
+    def _progress(self, attempt: Attempt, seen: Seen, now: int) -> None:
+        if seen.stage == "ended":
+            self._ended(attempt, seen, now)
+            return
+        if seen.stage in ("running", "saving", "gathering") and attempt.stage not in (
+            "running", "saving", "gathering",
+        ):  # fmt: skip
+            attempt.machine.keep_image(attempt.work.job.image, attempt.work.job.image_gb)
+        if seen.stage == "running" and not attempt.ran_at:
+            attempt.ran_at = now
+            work, machine = attempt.work, attempt.machine
+            machine.fetched += machine.share(work.job) * (now - attempt.since) / US
+            if not work.started_at:
+                work.started_at = now
+                self.log(
+                    f"job {work.job.ref} ({work.job.lane}, {work.job.tasks} tasks) runs after "
+                    f"{(now - work.asked_at) / US:.1f} s on {attempt.machine.name}"
+                )
+        attempt.stage = seen.stage
+
+    def _ended(self, attempt: Attempt, seen: Seen, now: int) -> None:
+        machine, work, why = attempt.machine, attempt.work, seen.why or "error"
+        job = work.job
+        rest = Rest(over=True, forgettable=why != "done", loose=attempt.loose or attempt.flying)
+        machine.rest[(*attempt.key, attempt.token)] = rest
+        if why == "done":
+            machine.faults.clear()
+            if attempt.ran_at and not work.closed and not (job.gang and work.done_count):
+                self._learn(work, now - attempt.ran_at)
+            self._result(work, attempt.index)
+        self._remove(attempt, now)
+        if why == "done" or work.closed:
+            return
+        if why == "error":
+            self._failed(machine, work, now)
+        elif why == "full":
+            machine.avoid_until = now + 2 * US
+        elif why == "no_such":
+            # The user may still be uploading the job; if not, asking often helps nobody.
+            work.failures += 1
+            work.hold_until = now + min(30, 1 << min(work.failures, 5)) * US
+        elif why == "in_use":
+            machine.avoid_until = now + 1 * US
+        if job.gang and why in ("peers", "incomplete", "error", "full", "no_such", "in_use"):
+            for other in list(work.live.values()):  # the attempt is lost: clear it away
+                self.stop(other, 0.0)
+
+    def _result(self, work: Work, index: int) -> None:
+        """A gang's tasks complete together: one result is everybody's."""
+        for one in range(work.job.tasks) if work.job.gang else (index,):
+            work.finish(one)
+
+    def _failed(self, machine: Machine, work: Work, now: int) -> None:
+        """Mostly the machine is faulty; a job that fails on several is itself at fault."""
+        work.failures += 1
+        work.failed_on[machine.name] = now + 30 * US
+        if len(work.failed_on) >= 3 and not work.done_count:
+            work.hold_until = now + min(60, 1 << min(work.failures, 6)) * US
+            return
+        machine.faults.add(work.job.ref)
+        machine.avoid_until = now + 4 * US * len(machine.faults)
+        if len(machine.faults) >= 2:
+            machine.draining = True
+            self.log(f"machine {machine.name} is faulty: {sorted(machine.faults)} failed on it")
+
+    def _learn(self, work: Work, ran_us: int) -> None:
+        job = work.job
+        work.ran_us += ran_us
+        work.ran_count += 1
+        if job.guess_us > 0:
+            ratio = min(8.0, max(0.1, ran_us / job.guess_us))
+            old = self.ratio.get(job.lane)
+            self.ratio[job.lane] = ratio if old is None else old * 0.95 + ratio * 0.05
+
+    def _stranger(self, machine: Machine, ref: str, index: int, seen: Seen, now: int) -> None:
+        """A listed attempt that we did not start, or no longer want."""
+        key = (ref, index, seen.token)
+        work = self.works.get(ref)
+        over = seen.stage == "ended"
+        rest = machine.rest.get(key)
+        if rest is None:
+            rest = machine.rest[key] = Rest(over, False)
+        rest.over = over
+        if work is None or work.closed or index >= work.job.tasks:
+            rest.forgettable = over
+            return
+        if over:
+            if seen.why == "done":
+                self._result(work, index)
+            else:
+                rest.forgettable = True
+            return
+        if (
+            index not in work.live
+            and not work.is_done(index)
+            and not machine.synced
+            and work.holds(index)
+        ):
+            # Started by the block's last owner, and still wanted: it goes on under its number.
+            del machine.rest[key]
+            attempt = Attempt(work, index, machine, seen.token, now)
+            attempt.stage = "sent"
+            self._enlist(attempt)
+            self._progress(attempt, seen, now)
+
+    # For planning
+
+    def used(self, team: str) -> list[float]:
+        """CPUs and GPUs of a team's tasks, those counted that only may be there."""
+        return self.team_used.get(team, [0.0, 0.0])
+
+    def blocked(self, work: Work, now: int) -> bool:
+        """May none of its tasks be started now? Until every machine that might hold a task
+        has shown our baton, only jobs that no earlier owner can have started are free."""
+        return (
+            work.closed or now < work.hold_until or (work.stamp <= self.stamp and bool(self.risky))
+        )
+
+    def token(self) -> int:
+        """A fresh attempt's number, unique without a write."""
+        self.sequence += 1
+        return (self.baton << TOKEN_BITS) | self.sequence
+
+    # For the market and the fleet
+
+    def guess_us(self, work: Work) -> int:
+        """How long a task of the job will run: as its first ones did; before that by the
+        owner's guess and what guesses of its class have been worth."""
+        if work.ran_count >= 3:
+            return max(US, work.ran_us // work.ran_count)
+        return max(US, int(work.job.guess_us * self.ratio.get(work.job.lane, 1.0)))
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterator
 
 from basaltlead.core import gangs, placement
-from basaltlead.core.block import Block, Limits
+from basaltlead.core.block import Block
 from basaltlead.core.model import US, Attempt, Job, Machine, Work
+from basaltlead.core.picture import Limits
 
 MOST_STARTS = 2000  # of one job in one plan
 GATHER_US = 20 * US  # a gang that has waited for so long has room kept free for it
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -10,8 +10,8 @@
 from basaltlead.clients.base import Unavailable, encode
 from basaltlead.clients.state import Conflict, NoHold, State
 from basaltlead.clock import now_us, wall_us
-from basaltlead.core.block import Limits
 from basaltlead.core.model import Kind
+from basaltlead.core.picture import Limits
 from basaltlead.logs import Brake, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response
--- a/basaltlead/leasing.py
+++ b/basaltlead/leasing.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from basaltlead.clients.state import TROUBLE, State
-from basaltlead.core.block import Limits
 from basaltlead.core.leadership import LEADER
 from basaltlead.core.model import Job
+from basaltlead.core.picture import Limits
 from basaltlead.following import follow
 from basaltlead.logs import log
 from basaltlead.membership import Membership
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -13,10 +13,11 @@
 from basaltlead.clients.base import Backoff, encode
 from basaltlead.clients.state import TROUBLE, State
 from basaltlead.clock import age_us, now_us
-from basaltlead.core.block import Block, Limits, Timing
+from basaltlead.core.block import Block
 from basaltlead.core.leadership import Grant, block_key
 from basaltlead.core.market import Market, TeamRecord
 from basaltlead.core.model import US, Job, Kind, Machine
+from basaltlead.core.picture import Limits, Timing
 from basaltlead.core.planning import plan
 from basaltlead.following import follow
 from basaltlead.logs import log
--- a/basaltlead/sharing.py
+++ b/basaltlead/sharing.py
@@ -8,9 +8,9 @@
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.state import TROUBLE, Conflict, NoHold
 from basaltlead.clock import now_us
-from basaltlead.core.block import Limits
 from basaltlead.core.leadership import Load, load_key
 from basaltlead.core.model import US, Work
+from basaltlead.core.picture import Limits
 from basaltlead.following import follow
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -1,7 +1,8 @@
 """The owner of a block against single messages: order, lateness, doubt. Each is a guard."""
 
-from basaltlead.core.block import Block, Limits, Timing
+from basaltlead.core.block import Block
 from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Work
+from basaltlead.core.picture import Limits, Timing
 from basaltlead.core.planning import plan
 from basaltlead.wire.workers import Listed, Report
 
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -1,8 +1,9 @@
 """Bids: what moves them, and what a job that can keep no promise any more may bid."""
 
-from basaltlead.core.block import Block, Limits, Timing
+from basaltlead.core.block import Block
 from basaltlead.core.market import Market, Promises, Terms
 from basaltlead.core.model import US, Job, Work
+from basaltlead.core.picture import Limits, Timing
 from basaltlead.settings import Objective
 from tests.test_block import a_job
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,9 +7,9 @@
 import pytest
 
 from basaltlead.core import demand, fleet, planning
-from basaltlead.core.block import Limits
 from basaltlead.core.fleet import Need, Offer
 from basaltlead.core.model import US, Machine, Room, Work
+from basaltlead.core.picture import Limits
 from tests.test_block import KIND, Story, a_job
 
 MACHINES = 240
