Machines are neither returned nor replaced because their owner alone did not hear them

Found by reading: after a total silence the first machine that was heard again made all others count as lost for good, and a machine in doubt since its loss was returned at once.

--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -189,6 +189,7 @@
         self.asked_at = 0  # since when we have answered it without its showing our baton
         self.session_at = 0  # the first report of its session
         self.deaf_since = 0  # since when there is doubt whether our orders reach it; 0: none
+        self.back_at = 0  # when it was last heard again after it had been lost
         self.recorded = False  # stands in the state service: tasks may be started
         self.up = False
         self.lost = False
--- a/basaltlead/core/picture.py
+++ b/basaltlead/core/picture.py
@@ -245,6 +245,8 @@
             machine.rest.clear()
             machine.images.clear()
             self.doubt(machine, now)
+        if machine.lost:
+            machine.back_at = now
         machine.session = session
         machine.session_at = now
         machine.min_session = max(machine.min_session, session)
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -22,6 +22,8 @@
 MOST_NAMES = 100  # the cloud deletes that many at once
 DARK_COUNT = 3  # machines that must be silent before their zone is in doubt
 DARK_US = 45 * US  # for how long nothing is hired there after the last of them was returned
+BLIND_LEASES = 4  # after so long of hearing nobody we believe that they are gone
+BACK_US = 8 * US  # a worker whose answers got lost waits 4 s, and a second for each other node
 DEAF_US = 4 * US  # a machine that has not heard us for so long is no capacity
 MINIMUM_US = 60 * US  # what a machine costs at least
 
@@ -39,6 +41,7 @@
         self.shop = shop
         self.sequence = 0
         self.pending: dict[str, list[Machine]] = {}  # hires without an answer so far
+        self.silent_at = now_us()  # when nobody was heard
         self.dark: dict[str, int] = {}  # zones of which nothing is heard, to be avoided until when
 
     def start(self) -> None:
@@ -110,13 +113,13 @@
         return out + [
             m
             for m in machines
-            if not m.lost and not self._overdue(m, now) and not self._deaf(m, now, DEAF_US)
+            if not m.lost and not self._overdue(m, now) and not self._deaf(m, now)
         ]
 
     @staticmethod
-    def _deaf(machine: Machine, now: int, patience_us: int) -> bool:
-        """Have our orders not reached it for so long, although its reports reach us?"""
-        return bool(machine.deaf_since) and now - machine.deaf_since > patience_us
+    def _deaf(machine: Machine, now: int) -> bool:
+        """Have our orders not reached it for a while, although its reports reach us?"""
+        return bool(machine.deaf_since) and now - machine.deaf_since > DEAF_US
 
     @staticmethod
     def _overdue(machine: Machine, now: int) -> bool:
@@ -137,6 +140,8 @@
             room = MOST_HIRING - len(self.pending)
             self._look_for_dark_zones(now)
             offers = self.shop.offers(self.owner.kinds.values(), self._held(), now)
+            if self._blind(now):
+                offers = {}
             plan = fleet.size(
                 needs, self.spares(now), self.expected(now), self.owner.kinds,
                 {o: n for o, n in offers.items() if o.zone not in self.dark}, run_us, 12,
@@ -152,6 +157,14 @@
             self.owner.wake.set()
             self._give_back(plan.needed, now)
 
+    def _blind(self, now: int) -> bool:
+        """Have several machines fallen silent, and nobody is heard? For a while that is more
+        likely our own trouble than theirs, and we would not hear of new ones either."""
+        lease = self.owner.block.timing.lease_us
+        heard = [m.heard_at for m in self.owner.block.machines.values() if m.up and m.heard_at]
+        silent = len(heard) >= DARK_COUNT and not self._anybody_heard(now)
+        return silent and now - max(heard) < BLIND_LEASES * lease
+
     def _look_for_dark_zones(self, now: int) -> None:
         """Nothing is hired in a zone whose machines have all fallen silent while others are
         heard: it is cut off, and what boots there can't reach us either."""
@@ -174,6 +187,9 @@
 
     def _give_back(self, needed: set[str], now: int) -> None:
         share = self.settings.operator.idle_share
+        timing = self.owner.block.timing
+        if not self._anybody_heard(now):
+            self.silent_at = now
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
@@ -185,7 +201,8 @@
                 and now - machine.made_at > MINIMUM_US - 5 * US
             )  # fmt: skip
             faulty = machine.draining and not machine.rest
-            deaf = self._deaf(machine, now, 2 * self.owner.block.timing.lapse_us)
+            since = max(machine.deaf_since, machine.back_at)
+            deaf = bool(machine.deaf_since) and now - since > 2 * timing.lapse_us
             # Everything silent at once is more likely our own trouble than theirs.
             lost = machine.lost and self._others_heard(now)
             if overdue or idle or faulty or lost or deaf:
@@ -203,12 +220,20 @@
         kind = machine.kind
         return kind.boot_us * kind.price / max(fleet.unit_price(kind, machine.spot), 1e-6)
 
+    def _anybody_heard(self, now: int) -> bool:
+        recent = max(4 * US, 3 * self.owner.block.timing.report_us)
+        return any(
+            now - m.heard_at < recent for m in self.owner.block.machines.values() if m.heard_at
+        )
+
     def _others_heard(self, now: int) -> bool:
-        recent = self.owner.block.timing.lease_us
-        machines = [m for m in self.owner.block.machines.values() if m.up]
-        heard = sum(1 for m in machines if now - m.heard_at < recent)
-        lost = [m for m in machines if m.lost]
-        return heard >= 1 or all(now - m.heard_at > 4 * recent for m in lost)
+        """Have others been heard all the time a worker may take to find us again? When all were
+        silent at once, those that are not back with the first one are not lost for that."""
+        lease = self.owner.block.timing.lease_us
+        lost = [m for m in self.owner.block.machines.values() if m.lost]
+        return now - self.silent_at > BACK_US or all(
+            now - m.heard_at > BLIND_LEASES * lease for m in lost
+        )
 
     def _held(self) -> dict[Offer, int]:
         """Machines we hold, by what they were offered as."""
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -214,3 +214,26 @@
         world.verdict()
 
     play(story)
+
+
+def test_machines_are_not_returned_because_their_owner_did_not_hear_them() -> None:
+    """All are silent at once, then some are back a little sooner than others."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop, nodes=1)
+        await world.start()
+        for number in range(1, 7):
+            await world.submit(world.job(number, Cores=4.0, RunS=300.0))
+        await world.until(lambda: len(world.referee.on) == 6)
+        rented = set(world.cloud.machines)
+        assert len(rented) > 1
+        world.isolate("node-0", state=False, cloud=False)
+        await asyncio.sleep(2.5 * FakeWorker.LEASE)
+        assert set(world.cloud.machines) == rented  # nor does it rent what it would not hear
+        world.rejoin("node-0")
+        await asyncio.sleep(15)
+        assert rented <= set(world.cloud.machines)
+        await world.until(lambda: len(world.referee.on) == 6)
+        world.verdict()
+
+    play(story)
