--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -237,3 +237,28 @@
         world.verdict()
 
     play(story)
+
+
+def test_nothing_is_hired_in_a_zone_of_which_nothing_is_heard() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 20
+        await world.start()
+        for number in range(1, 5):
+            await world.submit(world.job(number, Cores=4.0, Yard="b", RunS=200.0))
+        await world.submit(world.job(5, Cores=4.0, Yard="a", RunS=200.0))
+        await world.until(lambda: len(world.referee.on) == 5)
+        dark = [m for m in world.cloud.machines.values() if m.zone == "b"]
+        for machine in dark:
+            for name in world.nodes:
+                world.net.cut(machine.host, world.host(name))
+        await asyncio.sleep(FakeWorker.LEASE)
+        rented = set(world.cloud.machines)
+        for number in range(6, 10):
+            await world.submit(world.job(number, Cores=4.0, RunS=5.0))
+        await world.until_done(*[f"req-{n:06d}" for n in range(6, 10)], seconds=60)
+        new = [m for name, m in world.cloud.machines.items() if name not in rented]
+        assert new and all(machine.zone == "a" for machine in new)
+        world.verdict()
+
+    play(story)
