--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -83,6 +83,22 @@
         await asyncio.sleep(seconds)
         world.reconcile(name, deliver=chance.random() < 0.7)
 
+    async def slow(name: str, seconds: float) -> None:
+        world.net.slow[world.host(name)] = chance.uniform(0.1, 0.6)
+        await asyncio.sleep(seconds)
+        world.net.slow.pop(world.host(name), None)
+
+    async def slow_state(seconds: float) -> None:
+        world.state.slowness = 10.0
+        await asyncio.sleep(seconds)
+        world.state.slowness = 1.0
+
+    async def peers_refuse(seconds: float) -> None:
+        internal = {(world.host(name), 8081) for name in world.nodes}
+        world.net.refusing |= internal
+        await asyncio.sleep(seconds)
+        world.net.refusing -= internal
+
     async def die() -> None:
         if world.cloud.machines:
             name = chance.choice(list(world.cloud.machines))
@@ -92,7 +108,7 @@
         await asyncio.sleep(chance.uniform(1, 8))
         name = chance.choice(world.nodes)
         seconds = chance.choice([0.3, 2.0, 7.0, 15.0])
-        kind = chance.randrange(11)
+        kind = chance.randrange(14)
         if kind == 0:
             work = cut(name, True, seconds)
         elif kind == 1:
@@ -111,6 +127,12 @@
             work = estranged(name, seconds)
         elif kind == 9:  # back at once, with the last message still on its way
             work = crash(name, chance.uniform(0.05, 0.4))
+        elif kind == 10 and world.host(name) not in world.net.slow:
+            work = slow(name, seconds)
+        elif kind == 11:
+            work = slow_state(seconds)
+        elif kind == 12:
+            work = peers_refuse(seconds)
         else:
             work = die()
         pending.append(asyncio.get_running_loop().create_task(work))
@@ -136,6 +158,9 @@
         trouble.cancel()
         # Everything heals; every job that was accepted and not cancelled must come to its end.
         world.state.outage_over()
+        world.state.slowness = 1.0
+        world.net.slow.clear()
+        world.net.refusing.clear()
         for name in world.nodes:
             world.rejoin(name)
             world.net.heal(world.host(name), world.state.HOST)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -174,16 +174,14 @@
         world = World(loop)
         owner = await world.busy(6, 60.0)
         starts = world.referee.starts
-        listeners = {a: world.net.listeners.pop(a) for a in list(world.net.listeners)
-                     if a[1] == 8081}  # fmt: skip
-        assert len(listeners) == 3
+        world.net.refusing = {(world.host(name), 8081) for name in world.nodes}
         world.state.slowness = 10.0
         for number in range(2, 12):
             await world.submit(world.job(number, RunS=2.0))
             await asyncio.sleep(3)
             assert world.owner() == owner
         world.state.slowness = 1.0
-        world.net.listeners.update(listeners)
+        world.net.refusing.clear()
         await world.until_done(*[f"req-{n:06d}" for n in range(1, 12)], seconds=100)
         assert world.referee.starts == starts + 10  # each task was started once
         assert sorted(world.running) == world.nodes
@@ -262,3 +260,21 @@
         world.verdict()
 
     play(story)
+
+
+def test_a_slow_controller_keeps_its_block_and_its_workers() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(6, 40.0)
+        starts = world.referee.starts
+        world.net.slow[world.host(owner)] = 0.15  # every answer it waits for takes longer
+        await world.submit(world.job(2, RunS=2.0))
+        for _ in range(20):
+            await asyncio.sleep(1)
+            assert world.owner() == owner
+        world.net.slow.clear()
+        await world.until_done("req-000001", "req-000002", seconds=100)
+        assert world.referee.starts == starts + 1
+        world.verdict()
+
+    play(story)
--- a/tests/world.py
+++ b/tests/world.py
@@ -82,10 +82,12 @@
         self.chance = chance
         self.listeners: dict[tuple[str, int], Callable[[], asyncio.Protocol]] = {}
         self.taken: set[tuple[str, int]] = set()  # ports that somebody else uses
+        self.refusing: set[tuple[str, int]] = set()  # a packet filter before these
         self.cuts: set[frozenset[str]] = set()
         self.held: dict[frozenset[str], list[tuple[Transport, bytes | None]]] = {}
         self.order: dict[int, float] = {}
         self.ends: dict[str, set[Transport]] = {}
+        self.slow: dict[str, float] = {}  # hosts that take so much longer for all they hear
 
     def cut(self, a: str, b: str) -> None:
         self.cuts.add(frozenset((a, b)))
@@ -108,9 +110,8 @@
             self._later(end, data)
 
     def _later(self, end: Transport, data: bytes | None) -> None:
-        at = max(
-            self.loop.time() + self.chance.uniform(0.0003, 0.003), self.order.get(id(end), 0.0)
-        )
+        takes = self.chance.uniform(0.0003, 0.003) + self.slow.get(end.there, 0.0)
+        at = max(self.loop.time() + takes, self.order.get(id(end), 0.0))
         self.order[id(end)] = at + 1e-7
         self.loop.call_at(at, self._arrive, end, data)
 
@@ -133,7 +134,7 @@
         if frozenset((here, host)) in self.cuts:
             await asyncio.sleep(3600)
         make = self.listeners.get((host, port))
-        if make is None:
+        if make is None or (host, port) in self.refusing:
             raise ConnectionRefusedError(f"{host}:{port}")
         near, far = Transport(self, here, host), Transport(self, host, here)
         near.other, far.other = far, near
