--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from heapq import heapify, heappop, heappush
 
-from basaltlead.core.model import Attempt, Job, Machine, Room, Work, allowed
+from basaltlead.core.model import Attempt, Job, Machine, Room, Work
 
 
 def zones_open(work: Work, zones: Iterable[str]) -> set[str]:
@@ -38,7 +38,7 @@
 
 
 class Ranking:
-    """Machines for tasks of one job, best first: the least booked bids within the best tier (the
+    """The machines that suit a job, best first: the least booked bids within the best tier (the
     paper's worst fit). Made in one pass; each task then costs no more than a step in a heap."""
 
     def __init__(self, job: Job, machines: Iterable[Machine], rooms: dict[str, Room]) -> None:
@@ -47,9 +47,7 @@
         self.heap = [
             (tier(job, m), m.booked, m.name, m)
             for m in machines
-            if rooms[m.name].fits(job)
-            and not m.crowded
-            and allowed(job, m.kind.name, m.zone, m.spot)
+            if rooms[m.name].fits(job) and not m.crowded
         ]
         heapify(self.heap)
 
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Iterator
+from functools import cached_property
 
 from basaltlead.core import gangs, placement
 from basaltlead.core.block import Block
-from basaltlead.core.model import US, Attempt, Job, Machine, Work
+from basaltlead.core.model import US, Attempt, Job, Machine, Work, allowed
 from basaltlead.core.picture import Limits
 
 MOST_STARTS = 2000  # of one job in one plan
@@ -66,12 +67,17 @@
         self.usable = [m for m in block.machines.values() if m.usable(now)]
         self.zones = {machine.zone for machine in self.usable}
         self.rooms = {machine.name: machine.room(staying=True) for machine in self.usable}
-        self.unsure = block.strangers  # may tasks run that nobody accounts for?
         self.kept: set[str] = set()  # machines that are kept free for a gang
         self.hopeless: set[tuple[object, ...]] = set()  # what found no room in this plan
         for machine in self.usable:
             machine.booked = sum(a.work.bid for a in machine.attempts.values() if a.grace is None)
 
+    @cached_property
+    def unsure(self) -> bool:
+        """May tasks run that nobody accounts for? Asked only for teams with a limit: it takes a
+        look at every machine."""
+        return self.block.strangers
+
     def run(self) -> None:
         if not self.usable:
             return
@@ -90,7 +96,7 @@
         return [
             m for m in self.usable
             if m.name not in self.kept
-            and placement.allowed(work.job, m.kind.name, m.zone, m.spot)
+            and allowed(work.job, m.kind.name, m.zone, m.spot)
             and m.kind.holds(work.job) and work.failed_on.get(m.name, 0) <= self.now
         ]  # fmt: skip
 
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -168,11 +168,10 @@
     def _look_for_dark_zones(self, now: int) -> None:
         """Nothing is hired in a zone whose machines have all fallen silent while others are
         heard: it is cut off, and what boots there can't reach us either."""
-        silent_us = max(4 * US, 3 * self.owner.block.timing.report_us)
         seen: dict[str, list[bool]] = {}
         for machine in self.owner.block.machines.values():
             if machine.up and machine.heard_at:
-                heard = not machine.lost and now - machine.heard_at < silent_us
+                heard = not machine.lost and self._heard(machine, now)
                 seen.setdefault(machine.zone, []).append(heard)
         self.dark = {zone: until for zone, until in self.dark.items() if now < until}
         if not any(map(any, seen.values())):
@@ -220,11 +219,13 @@
         kind = machine.kind
         return kind.boot_us * kind.price / max(fleet.unit_price(kind, machine.spot), 1e-6)
 
-    def _anybody_heard(self, now: int) -> bool:
+    def _heard(self, machine: Machine, now: int) -> bool:
+        """Has it reported lately, lost answers and all?"""
         recent = max(4 * US, 3 * self.owner.block.timing.report_us)
-        return any(
-            now - m.heard_at < recent for m in self.owner.block.machines.values() if m.heard_at
-        )
+        return bool(machine.heard_at) and now - machine.heard_at < recent
+
+    def _anybody_heard(self, now: int) -> bool:
+        return any(self._heard(m, now) for m in self.owner.block.machines.values())
 
     def _others_heard(self, now: int) -> bool:
         """Have others been heard all the time a worker may take to find us again? When all were
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -62,21 +62,14 @@
         await asyncio.sleep(seconds)
         world.net.heal(world.host(name), world.state.HOST, deliver=chance.random() < 0.5)
 
-    async def hang(seconds: float) -> None:
+    async def ail(what: str, seconds: float) -> None:
+        """A machine hangs, or is deaf, for a while."""
         machines = [m for m in world.cloud.machines.values() if m.up]
         if machines:
             machine = chance.choice(machines)
-            machine.hung = True
+            setattr(machine, what, True)
             await asyncio.sleep(seconds)
-            machine.hung = False
-
-    async def deaf(seconds: float) -> None:
-        machines = [m for m in world.cloud.machines.values() if m.up]
-        if machines:
-            machine = chance.choice(machines)
-            machine.deaf = True
-            await asyncio.sleep(seconds)
-            machine.deaf = False
+            setattr(machine, what, False)
 
     async def estranged(name: str, seconds: float) -> None:
         world.estrange(name)
@@ -120,9 +113,9 @@
         elif kind == 5:
             work = refused(name, seconds)
         elif kind == 6:
-            work = hang(seconds)
+            work = ail("hung", seconds)
         elif kind == 7:
-            work = deaf(seconds)
+            work = ail("deaf", seconds)
         elif kind == 8:
             work = estranged(name, seconds)
         elif kind == 9:  # back at once, with the last message still on its way
