Plans and fleet sizing look only at machines with room; places and bids kept up to date

Change: free room, booked bids and waiting tasks are kept with each attempt; plans look at lots of machines that are alike and at those with room; sizing drops full machines; direct orders follow a list of machines that have some; passes are spaced.

--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -141,6 +141,13 @@
             out.append(self._wish("run", attempt, None))
         return out, flown
 
+    def presses(self, machine: Machine) -> bool:
+        """Has it orders that were not sent so far? Some wait for room, or for an answer."""
+        return any(
+            a.told != a.grace if a.grace is not None else a.stage == "planned"
+            for a in machine.attempts.values()
+        )
+
     def landed(self, flown: Iterable[Attempt], executed: bool | None) -> None:
         """Direct starts were executed, were not, or (None) nobody knows."""
         for attempt in flown:
@@ -149,6 +156,7 @@
                 attempt.loose = True  # sent again with the next report's answer
             elif not executed and attempt.stage == "sent":
                 attempt.stage = "planned"
+                self.urgent[attempt.machine.name] = None
                 self.dirty = True
 
     def startable(self, machine: Machine, now: int) -> list[Attempt]:
@@ -159,7 +167,7 @@
         ]  # fmt: skip
         if not waiting or machine.lost or not machine.recorded:
             return []
-        room = machine.room(staying=False)
+        room = machine.room()
         out = []
         for attempt in sorted(waiting, key=lambda a: -a.work.job.rank):
             if attempt.stage == "sent":
--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -31,6 +31,7 @@
     due_of: Callable[[Work, int], Due],
     guess_us: Callable[[Work], int],
     lead_us: int,
+    loads: dict[str, float],
 ) -> dict[str, int]:
     """Wanted tasks by job, those that run already included."""
     out: dict[str, int] = {}
@@ -48,7 +49,7 @@
     rate = 0.0
     for at, work in dated:
         each = guess_us(work)
-        total += load(work, each, now)
+        total += loads[work.job.ref]
         left = int((at - now) * MARGIN) - (0 if work.live else lead_us)
         rate = max(rate, total / max(left, each, US))
     for _, work in dated:
@@ -71,9 +72,9 @@
     return left * work.job.size
 
 
-def backlog(works: Iterable[Work], now: int, guess_us: Callable[[Work], int]) -> float:
-    """What is left of all open arrays, in CPU microseconds."""
-    return sum(load(work, guess_us(work), now) for work in works if not work.job.gang)
+def loads_of(works: Iterable[Work], now: int, guess_us: Callable[[Work], int]) -> dict[str, float]:
+    """What is left of each open array: a look at every running task, so once a pass."""
+    return {w.job.ref: load(w, guess_us(w), now) for w in works if not w.job.gang}
 
 
 class Rented:
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Room, Work, allowed
+from basaltlead.core.model import EPS, US, Attempt, Job, Kind, Machine, Room, Work, allowed
 
 # For how long a machine must be of use, in boots. Spot machines are cheap enough to be there early
 # and to wait for work; ordinary ones are for backlogs that outlast their boots.
@@ -131,6 +131,16 @@
         )
     )
     by_name = {b.machine.name: b for b in bins if b.machine is not None}
+    # Those in which any task may still find room, in the same order. Room only shrinks here, and
+    # in a full fleet few are left to look at.
+    jobs = [*(need.work.job for need in needs), *(spare.job for spare in spares)]
+    least = min((job.cpus for job in jobs), default=0.0) - EPS
+    roomy = list(bins)
+
+    def sift() -> None:
+        nonlocal roomy
+        roomy = [b for b in roomy if b.room.cpus >= least]
+
     hires: list[Offer] = []
     hired: dict[Offer, int] = {}
 
@@ -162,6 +172,7 @@
         hired[chosen] = hired.get(chosen, 0) + 1
         one = Bin(kinds[chosen.kind], chosen.zone, None, chosen)
         bins.append(one)
+        roomy.append(one)
         return one
 
     def keeps(one: Bin, room: Room, job: Job) -> bool:
@@ -180,17 +191,20 @@
 
     def place(job: Job, count: int, zones: set[str] | None, within_us: float = float("inf")) -> int:
         """Bins that are passed once stay full for this job: one pass, then what is rented."""
-        placed = at = 0
+        placed = at = full = 0
         while placed < count:
-            if at == len(bins) and rent(job, zones, count - placed, within_us) is None:
+            if at == len(roomy) and rent(job, zones, count - placed, within_us) is None:
                 break
-            one = bins[at]
+            one = roomy[at]
             at += 1
+            full += one.room.cpus < least
             if (zones is None or one.zone in zones) and keeps(one, one.room, job):
                 fitting = min(count - placed, one.room.holds(job))
                 one.room.take(job, fitting)
                 one.used += fitting
                 placed += fitting
+        if full > len(roomy) // 4:
+            sift()
         return placed
 
     ranks = sorted({n.work.job.rank for n in needs} | {s.job.rank for s in spares}, reverse=True)
@@ -200,6 +214,7 @@
         for need in here:
             live = [a for a in need.work.live.values() if a.grace is None]
             moved[need.work.job.ref] = max(0, need.count - sum(pin(a) for a in live))
+        sift()
         for need in here:
             job = need.work.job
             zones = None
@@ -208,14 +223,14 @@
             if job.one_zone and job.gang and zones is None:
                 # One zone must hold them all: try each, keep the one that needs fewest hires.
                 tried = sorted({b.zone for b in bins} | {o.zone for o in offers})
-                zones = _best_zone(job, moved[job.ref], tried, bins, offers, kinds)
+                zones = _best_zone(job, moved[job.ref], tried, roomy, offers, kinds)
             place(job, moved[job.ref], zones, need.drain_us)
         # A spare may be lent to lower ranks, which give way when it is needed: it takes nothing
         # from them here. Counting it as taken hired machines for tasks that never had to move.
-        lent = {id(one): one.room.copy() for one in bins}
+        lent = {id(one): one.room.copy() for one in roomy}
         for spare in (spare for spare in spares if spare.job.rank == rank):
             for _ in range(spare.count):
-                fitting = [b for b in bins if keeps(b, lent[id(b)], spare.job)]
+                fitting = [b for b in roomy if keeps(b, lent[id(b)], spare.job)]
                 found = max(fitting, key=lambda b: held(b, spare.images), default=None)
                 found = found or rent(spare.job, None, 1, float("inf"))
                 if found is None:
--- a/basaltlead/core/gangs.py
+++ b/basaltlead/core/gangs.py
@@ -2,21 +2,21 @@
 
 from collections.abc import Sequence
 
-from basaltlead.core.model import Machine, Room, Work
+from basaltlead.core.model import Machine, Work
 from basaltlead.core.placement import Ranking, zones_open
 
 
-def place(work: Work, machines: Sequence[Machine], rooms: dict[str, Room]) -> list[Machine] | None:
-    """A machine for each task of the gang, or None. `rooms` is left as it was."""
+def place(work: Work, machines: Sequence[Machine]) -> list[Machine] | None:
+    """A machine for each task of the gang, or None."""
     job = work.job
     zones = {machine.zone for machine in machines}
     open_zones = sorted(zones_open(work, zones))
     # A gang in one zone tries them one by one; otherwise all zones together.
     for tried in [{zone} for zone in open_zones] if job.one_zone else [set(open_zones)]:
         usable = [m for m in machines if m.zone in tried]
-        if sum(rooms[m.name].holds(job) for m in usable) < job.tasks:
+        if sum(m.free.holds(job) for m in usable) < job.tasks:
             continue
-        trial = {m.name: rooms[m.name].copy() for m in usable}
+        trial = {m.name: m.free.copy() for m in usable}
         ranking = Ranking(job, usable, trial)
         held = dict.fromkeys(tried, 0)
         chosen: list[Machine] = []
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -149,6 +149,8 @@
                 work.bid, value, wanted, trend,
                 self.terms.reserve, self._most(work, now), self.terms.threshold,
             )  # fmt: skip
+        for machine in block.machines.values():
+            machine.rebook()
         open_refs = {work.job.ref for work in works}
         self.trends = {ref: trend for ref, trend in self.trends.items() if ref in open_refs}
         for work in works:
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -131,8 +131,8 @@
     """One start of one task on one machine, from the wish until it is provably gone."""
 
     __slots__ = (
-        "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick", "since", "stage",
-        "token", "told", "work",
+        "bid", "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick", "since",
+        "stage", "token", "told", "work",
     )  # fmt: skip
 
     def __init__(self, work: "Work", index: int, machine: "Machine", token: int, now: int) -> None:
@@ -150,6 +150,7 @@
         self.loose = False  # a direct order was never answered: a copy may still arrive
         self.since = now
         self.ran_at = 0
+        self.bid = 0.0  # what is booked for it on its machine
 
     @property
     def key(self) -> tuple[str, int]:
@@ -212,7 +213,10 @@
         self.rest: dict[tuple[str, int, int], Rest] = {}
         self.images: dict[str, float] = {}
         self.wanted = True  # the fleet needs it: one it does not need is left to empty
-        self.booked = 0.0  # sum of the bids of its tasks
+        # Kept up to date with each attempt, since plans ask for them for hundreds of machines:
+        # what is free beside the attempts that stay, and the sum of the bids of those.
+        self.free = Room.of(kind)
+        self.booked = 0.0
 
     def usable(self, now: int) -> bool:
         return (
@@ -221,11 +225,30 @@
             and self.recall_at is None and now >= self.avoid_until
         )  # fmt: skip
 
-    def room(self, staying: bool) -> Room:
-        """What is free; `staying` counts wishes and passes over those that are to stop."""
+    def book(self, attempt: Attempt) -> None:
+        """Give an attempt its place."""
+        attempt.bid = attempt.work.bid
+        self.free.take(attempt.work.job)
+        self.booked += attempt.bid
+
+    def unbook(self, attempt: Attempt) -> None:
+        """It is to stop, or gone."""
+        self.free.take(attempt.work.job, -1)
+        self.booked -= attempt.bid
+
+    def rebook(self) -> None:
+        """Book anew, after bids have moved. Also takes out what rounding has left behind."""
+        self.free = Room.of(self.kind)
+        self.booked = 0.0
+        for attempt in self.attempts.values():
+            if attempt.grace is None:
+                self.book(attempt)
+
+    def room(self) -> Room:
+        """What is free beside all that may be there, wishes apart."""
         room = Room.of(self.kind)
         for attempt in self.attempts.values():
-            if (attempt.grace is None) if staying else attempt.there:
+            if attempt.there:
                 room.take(attempt.work.job)
         return room
 
@@ -274,6 +297,7 @@
         self.fresh = (0, 0)  # the range, and the task in it, from which none was looked at
         self.again: list[int] = []
         self.live: dict[int, Attempt] = {}
+        self.live_open = 0  # of these, tasks that are not done
         self.started_at = 0
         self.closed = False  # cancelled or over: nothing may start
         self.hold_until = 0
@@ -305,6 +329,7 @@
             return False
         self.done[index >> 3] |= bit
         self.done_count += 1
+        self.live_open -= index in self.live
         self.part_done += self.holds(index)
         return True
 
@@ -329,6 +354,17 @@
         self.fresh = (0, 0)
         self.again.clear()
 
+    def bind(self, attempt: Attempt) -> None:
+        self.live[attempt.index] = attempt
+        self.live_open += not self.is_done(attempt.index)
+
+    def unbind(self, index: int) -> bool:
+        """False if it was not bound."""
+        if self.live.pop(index, None) is None:
+            return False
+        self.live_open -= not self.is_done(index)
+        return True
+
     @property
     def complete(self) -> bool:
         return self.done_count >= self.job.tasks
@@ -341,7 +377,11 @@
     @property
     def waiting(self) -> int:
         """Tasks neither done nor on a machine nor bound to one."""
-        return self.remaining - sum(1 for index in self.live if not self.is_done(index))
+        return self.remaining - self.live_open
+
+    @property
+    def running(self) -> int:
+        return sum(1 for attempt in self.live.values() if attempt.stage == "running")
 
     def next_index(self) -> int | None:
         """A task to start next; repeated ones first."""
--- a/basaltlead/core/picture.py
+++ b/basaltlead/core/picture.py
@@ -76,6 +76,8 @@
         self.sequence = 0
         self.machines: dict[str, Machine] = {}
         self.risky: set[str] = set()  # machines that may hold tasks we do not know of
+        # Machines that may have orders which need not wait for a report, in the order of coming.
+        self.urgent: dict[str, None] = {}
         self.works: dict[str, Work] = {}
         self.team_used: dict[str, list[float]] = {}
         self.ratio: dict[str, float] = {}  # measured run time over the guess, by class
@@ -121,9 +123,10 @@
 
     def _enlist(self, attempt: Attempt) -> None:
         work = attempt.work
-        work.live[attempt.index] = attempt
+        work.bind(attempt)
         attempt.machine.attempts[attempt.key] = attempt
-        attempt.machine.booked += work.bid
+        attempt.machine.book(attempt)
+        self.urgent[attempt.machine.name] = None
         used = self.team_used.setdefault(work.job.team, [0.0, 0.0])
         used[0] += work.job.cpus
         used[1] += work.job.gpus
@@ -132,9 +135,11 @@
         """It is provably not on its machine (any more)."""
         work = attempt.work
         machine = attempt.machine
-        if work.live.pop(attempt.index, None) is None:
+        if not work.unbind(attempt.index):
             return
         machine.attempts.pop(attempt.key, None)
+        if attempt.grace is None:
+            machine.unbook(attempt)
         if attempt.ran_at:
             spent = machine.share(work.job) * (now - attempt.ran_at) / US
             if work.is_done(attempt.index) or work.job.mark_every_us:
@@ -156,7 +161,10 @@
         if attempt.stage == "planned" and not attempt.flying:
             self._remove(attempt, attempt.machine.idle_since)
         elif attempt.grace is None or grace_s < attempt.grace:
+            if attempt.grace is None:
+                attempt.machine.unbook(attempt)
             attempt.grace = grace_s
+            self.urgent[attempt.machine.name] = None
         self.dirty = True
 
     def stop_softly(self, attempt: Attempt) -> None:
@@ -201,6 +209,7 @@
             self._remove(attempt, now)
         machine.rest.clear()
         self.risky.discard(machine.name)
+        self.urgent.pop(machine.name, None)
         self.dirty = True
 
     def _lose(self, machine: Machine, now: int) -> None:
@@ -295,6 +304,7 @@
             return  # the answer that carried the order came after this report
         if attempt.stage == "sent" and attempt.grace is None:
             attempt.stage = "planned"  # the answer was lost: the order goes out again
+            self.urgent[attempt.machine.name] = None
             return
         self._remove(attempt, now)
 
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -41,16 +41,22 @@
     """The machines that suit a job, best first: the least booked bids within the best tier (the
     paper's worst fit). Made in one pass; each task then costs no more than a step in a heap."""
 
-    def __init__(self, job: Job, machines: Iterable[Machine], rooms: dict[str, Room]) -> None:
+    def __init__(
+        self, job: Job, machines: Iterable[Machine], trial: dict[str, Room] | None = None
+    ) -> None:
+        """`trial` holds rooms to reckon with instead of what is free."""
         self.job = job
-        self.rooms = rooms
+        self.trial = trial
         self.heap = [
             (tier(job, m), m.booked, m.name, m)
             for m in machines
-            if rooms[m.name].fits(job) and not m.crowded
+            if self._room(m).fits(job) and not m.crowded
         ]
         heapify(self.heap)
 
+    def _room(self, machine: Machine) -> Room:
+        return machine.free if self.trial is None else self.trial[machine.name]
+
     def best(self, zones: set[str]) -> Machine | None:
         """The machine for the next task. Zones only close while a job's tasks are placed, so
         machines elsewhere are dropped for good."""
@@ -62,7 +68,7 @@
         """A task was bound to it: rank it anew while it holds another."""
         if self.heap and self.heap[0][3] is machine:
             heappop(self.heap)
-        if self.rooms[machine.name].fits(self.job) and not machine.crowded:
+        if self._room(machine).fits(self.job) and not machine.crowded:
             heappush(self.heap, (tier(self.job, machine), machine.booked, machine.name, machine))
 
 
@@ -79,7 +85,7 @@
     job: Job, machine: Machine, now: int, may_stop: Callable[[Work], bool]
 ) -> tuple[float, list[Attempt]] | None:
     """The attempts to stop so that a task of the job fits on the machine, and the loss."""
-    room = machine.room(staying=True)
+    room = machine.free.copy()
     chosen: list[Attempt] = []
     total = 0.0
     lower = [a for a in machine.attempts.values() if a.grace is None and may_stop(a.work)]
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -19,6 +19,7 @@
 # What a gang may have on one machine: cost of each place, name, machine, places, what must stop.
 Opening = tuple[float, str, Machine, int, list[Attempt]]
 Taken = tuple[Machine, int, list[Attempt]]
+Lots = dict[tuple[str, str, bool], list[Machine]]  # by type, zone, spot or not
 
 
 def guaranteed(block: Block, work: Work) -> bool:
@@ -66,11 +67,10 @@
         self.now = now
         self.usable = [m for m in block.machines.values() if m.usable(now)]
         self.zones = {machine.zone for machine in self.usable}
-        self.rooms = {machine.name: machine.room(staying=True) for machine in self.usable}
+        self.lots: Lots = {}  # machines that are alike
+        self.roomy: Lots = {}  # those of them on which anything that waits may fit
         self.kept: set[str] = set()  # machines that are kept free for a gang
         self.hopeless: set[tuple[object, ...]] = set()  # what found no room in this plan
-        for machine in self.usable:
-            machine.booked = sum(a.work.bid for a in machine.attempts.values() if a.grace is None)
 
     @cached_property
     def unsure(self) -> bool:
@@ -82,6 +82,12 @@
         if not self.usable:
             return
         works = order(self.block, self.now)
+        least = min((work.job.cpus for work in works), default=0.0) - 1e-6
+        for machine in self.usable:
+            lot = (machine.kind.name, machine.zone, machine.spot)
+            self.lots.setdefault(lot, []).append(machine)
+            if machine.free.cpus >= least:
+                self.roomy.setdefault(lot, []).append(machine)
         for work in works:
             if work.job.gang:
                 self._gang(work)
@@ -92,13 +98,19 @@
             if not work.job.gang and work.slots is not None:
                 self._tasks(work, work.waiting)
 
-    def _suited(self, work: Work) -> list[Machine]:
-        return [
-            m for m in self.usable
-            if m.name not in self.kept
-            and allowed(work.job, m.kind.name, m.zone, m.spot)
-            and m.kind.holds(work.job) and work.failed_on.get(m.name, 0) <= self.now
-        ]  # fmt: skip
+    def _suited(self, work: Work, lots: Lots) -> list[Machine]:
+        """The machines of some lots that a job may use. What makes machines alike is asked once
+        a lot, not once a machine."""
+        suited: list[Machine] = []
+        for lot, machines in lots.items():
+            if allowed(work.job, *lot) and machines[0].kind.holds(work.job):
+                suited += machines
+        if self.kept or work.failed_on:
+            return [
+                m for m in suited
+                if m.name not in self.kept and work.failed_on.get(m.name, 0) <= self.now
+            ]  # fmt: skip
+        return suited
 
     def _asks(self, work: Work) -> tuple[object, ...] | None:
         """What decides whether a job finds room. A job that failed somewhere is a case of its
@@ -129,9 +141,8 @@
         asks = self._asks(work)
         if limit <= 0 or asks in self.hopeless:
             return
-        suited = self._suited(work)
         open_zones = placement.zones_open(work, self.zones)
-        ranking = placement.Ranking(job, suited, self.rooms)
+        ranking = placement.Ranking(job, self._suited(work, self.roomy))
         cleared = 0
         for _ in range(min(limit, MOST_STARTS)):
             if not self._within_limit(job):
@@ -145,7 +156,7 @@
             if machine is None:
                 found = None
                 if cleared < MOST_CLEARED:
-                    found = self._make_room(work, suited, open_zones)
+                    found = self._make_room(work, open_zones)
                 if found is None:
                     if asks is not None and cleared < MOST_CLEARED:
                         self.hopeless.add(asks)
@@ -157,15 +168,9 @@
                 return
             for attempt in stops:
                 self.block.stop_softly(attempt)
-            self._start(work, index, machine, self.block.token())
-            if stops:
-                self.rooms[machine.name] = machine.room(staying=True)
+            self.block.start(work, index, machine, self.block.token(), self.now)
             ranking.again(machine)
 
-    def _start(self, work: Work, index: int, machine: Machine, token: int) -> None:
-        self.block.start(work, index, machine, token, self.now)
-        self.rooms[machine.name].take(work.job)
-
     # Gangs
 
     def _gang(self, work: Work) -> None:
@@ -176,11 +181,12 @@
         asks = self._asks(work)
         if asks in self.hopeless or not self._within_limit(job, job.tasks):
             return
-        suited = self._suited(work)
+        suited = self._suited(work, self.lots)
         if job.tasks == 1:
             chosen = self._cheapest(work, suited)
         else:
-            chosen = gangs.place(work, suited, self.rooms) or self._make_gang_room(work, suited)
+            roomy = self._suited(work, self.roomy)
+            chosen = gangs.place(work, roomy) or self._make_gang_room(work, suited)
         if chosen is None:
             if asks is not None:
                 self.hopeless.add(asks)
@@ -190,8 +196,6 @@
         work.rewind()
         for index, machine in enumerate(chosen):
             self.block.start(work, index, machine, token, self.now)
-        for machine in chosen:
-            self.rooms[machine.name] = machine.room(staying=True)
 
     def _complete(self, work: Work) -> None:
         """Replace lost tasks of a gang that has not started yet, under the same attempt."""
@@ -202,17 +206,17 @@
             for a in live
         ):
             return  # they exit, then the gang is placed anew
-        suited = self._suited(work)
+        suited = self._suited(work, self.roomy)
         for index in range(work.job.tasks):
             if index in work.live:
                 continue
             if not self._within_limit(work.job):
                 return
             open_zones = placement.zones_open(work, self.zones)
-            machine = placement.Ranking(work.job, suited, self.rooms).best(open_zones)
+            machine = placement.Ranking(work.job, suited).best(open_zones)
             if machine is None:
                 return
-            self._start(work, index, machine, token)
+            self.block.start(work, index, machine, token, self.now)
 
     def _keep_room(self, work: Work, suited: list[Machine]) -> None:
         """Gather room for a gang that waits: on the machines that will be empty soonest nothing
@@ -264,14 +268,12 @@
             if found is not None:
                 yield found[0], machine, found[1]
 
-    def _make_room(
-        self, work: Work, suited: list[Machine], zones: set[str]
-    ) -> tuple[Machine, list[Attempt]] | None:
+    def _make_room(self, work: Work, zones: set[str]) -> tuple[Machine, list[Attempt]] | None:
         """The machine on which stopping others of lower rank wastes least."""
         if work.job.rank < 2 and not guaranteed(self.block, work):
             return None  # ordinary work waits for what is rented for it
         best: tuple[float, str, Machine, list[Attempt]] | None = None
-        for loss, machine, stops in self._openings(work, suited):
+        for loss, machine, stops in self._openings(work, self._suited(work, self.lots)):
             if machine.zone in zones and (best is None or (loss, machine.name) < best[:2]):
                 best = (loss, machine.name, machine, stops)
         return None if best is None else (best[2], best[3])
@@ -303,7 +305,7 @@
                 a for a in machine.attempts.values()
                 if a.grace is None and self._may_stop(job, within, a.work)
             ]  # fmt: skip
-            room = machine.room(staying=True)
+            room = machine.free.copy()
             for attempt in stops:
                 room.take(attempt.work.job, -1)
             count = room.holds(job)
@@ -352,13 +354,11 @@
         return (cost, taken) if left == 0 else None
 
     def _clear(self, machine: Machine, job: Job, count: int, stops: list[Attempt]) -> None:
-        room = machine.room(staying=True)
         for attempt in sorted(stops, key=lambda a: (a.work.job.rank, placement.loss(a, self.now))):
-            if room.holds(job) >= count:
+            if machine.free.holds(job) >= count:
                 return
             if attempt.grace is None:
                 self.block.stop_softly(attempt)
-                room = machine.room(staying=True)
 
 
 def plan(block: Block, now: int) -> None:
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -46,6 +46,7 @@
 from basaltlead.wire.workers import Orders, Report
 
 PLAN_US = US // 2  # some things become possible by the mere passing of time
+TICK_US = US // 10  # how exactly the ends of leases are noticed
 
 
 class Lane:
@@ -295,18 +296,21 @@
 
     async def _plan(self) -> None:
         """Bind waiting tasks to machines soon after anything has changed."""
-        planned = 0
+        planned = ticked = 0
         while True:
             await woken(self.wake, 0.25)
             now = now_us()
-            self.block.tick(now)
+            if now - ticked >= TICK_US:
+                ticked = now
+                self.block.tick(now)
             if self.acts:
                 if self.block.dirty or now - planned > PLAN_US:
                     planned = now
                     plan(self.block, now)
                 self.reach.push_all(now)
-            # A large plan may take long: three times that is left for everything else.
-            await asyncio.sleep(max(0.02, 3 * (now_us() - now) / US))
+            # Machines come and go many times a second: passes over all of them are spaced, and a
+            # large plan leaves three times what it takes to everything else.
+            await asyncio.sleep(max(0.04, 3 * (now_us() - now) / US))
 
     async def _rounds(self) -> None:
         while True:
--- a/basaltlead/reach.py
+++ b/basaltlead/reach.py
@@ -48,10 +48,17 @@
 
     def push_all(self, now: int) -> None:
         """Send what can't wait for the next report straight to the workers."""
-        for machine in self.owner.block.machines.values():
-            if machine.name in self.pushing or not machine.attempts or now < machine.quiet_until:
+        block = self.owner.block
+        for name in list(block.urgent):
+            machine = block.machines.get(name)
+            if machine is None:
+                del block.urgent[name]
                 continue
-            wishes, flown = self.owner.block.direct(machine, now)
+            if name in self.pushing or now < machine.quiet_until:
+                continue
+            wishes, flown = block.direct(machine, now)
+            if not block.presses(machine):
+                del block.urgent[name]
             if wishes:
                 self.pushing.add(machine.name)
                 self.owner.spawn(self._push(machine, wishes, flown), f"push {machine.name}")
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -101,7 +101,7 @@
 def progress_of(work: Work, stretch: int) -> Progress:
     low, high = stretch * STRETCH // 8, (stretch + 1) * STRETCH // 8
     done = bytes(work.own[low:high])
-    running = sum(1 for a in work.live.values() if a.stage == "running") if stretch == 0 else 0
+    running = work.running if stretch == 0 else 0
     return Progress(done, sum(byte.bit_count() for byte in done), running)
 
 
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -19,11 +19,12 @@
 from basaltlead.wire.state import Drop, Put
 
 MOST_HIRING = 6  # hires in progress
+SIZING_SHARE = 15  # sizing the fleet leaves that many times what it takes to everything else
 MOST_NAMES = 100  # the cloud deletes that many at once
 DARK_COUNT = 3  # machines that must be silent before their zone is in doubt
 DARK_US = 45 * US  # for how long nothing is hired there after the last of them was returned
 BLIND_LEASES = 4  # after so long of hearing nobody we believe that they are gone
-BACK_US = 8 * US  # a worker whose answers got lost waits 4 s, and a second for each other node
+ANSWER_US = 4 * US  # for how long a worker waits for an answer; it tries others a second apart
 DEAF_US = 4 * US  # a machine that has not heard us for so long is no capacity
 MINIMUM_US = 60 * US  # what a machine costs at least
 
@@ -63,15 +64,10 @@
             for w in block.works.values()
             if not w.closed and not w.complete and now >= w.hold_until
         ]
-        wanted = demand.counts(
-            works,
-            now,
-            self.market.due,
-            block.guess_us,
-            self._lead_us(),
-        )
+        loads = demand.loads_of(works, now, block.guess_us)
+        wanted = demand.counts(works, now, self.market.due, block.guess_us, self._lead_us(), loads)
         rented = demand.Rented(self.expected(now))
-        backlog = demand.backlog(works, now, block.guess_us)
+        backlog = sum(loads.values())
         out = []
         for work in sorted(works, key=lambda w: (-w.job.rank, w.asked_at)):
             work.need = wanted[work.job.ref]
@@ -129,8 +125,10 @@
         return not machine.up and not machine.recorded and now - machine.made_at > patience
 
     async def _size(self) -> None:
+        took = 0
         while True:
-            await asyncio.sleep(0.5)
+            # The more there is to look at, the rarer: reports come first.
+            await asyncio.sleep(max(0.5, SIZING_SHARE * took / US))
             if not self.owner.acts or not self.owner.kinds:
                 continue
             now = now_us()
@@ -156,6 +154,7 @@
             self.market.share(block)
             self.owner.wake.set()
             self._give_back(plan.needed, now)
+            took = now_us() - now
 
     def _blind(self, now: int) -> bool:
         """Have several machines fallen silent, and nobody is heard? For a while that is more
@@ -189,6 +188,7 @@
         timing = self.owner.block.timing
         if not self._anybody_heard(now):
             self.silent_at = now
+        others_heard = self._others_heard(now)
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
@@ -203,7 +203,7 @@
             since = max(machine.deaf_since, machine.back_at)
             deaf = bool(machine.deaf_since) and now - since > 2 * timing.lapse_us
             # Everything silent at once is more likely our own trouble than theirs.
-            lost = machine.lost and self._others_heard(now)
+            lost = machine.lost and others_heard
             if overdue or idle or faulty or lost or deaf:
                 machine.deleting = True
                 log.info(
@@ -230,10 +230,11 @@
     def _others_heard(self, now: int) -> bool:
         """Have others been heard all the time a worker may take to find us again? When all were
         silent at once, those that are not back with the first one are not lost for that."""
-        lease = self.owner.block.timing.lease_us
+        timing = self.owner.block.timing
+        back_us = timing.report_us * 5 // 4 + ANSWER_US + self.settings.facts.nodes * US
         lost = [m for m in self.owner.block.machines.values() if m.lost]
-        return now - self.silent_at > BACK_US or all(
-            now - m.heard_at > BLIND_LEASES * lease for m in lost
+        return now - self.silent_at > back_us or all(
+            now - m.heard_at > BLIND_LEASES * timing.lease_us for m in lost
         )
 
     def _held(self) -> dict[Offer, int]:
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -53,11 +53,10 @@
             for work in works:
                 if work.complete or work.closed:
                     continue
-                shown = sum(1 for a in work.live.values() if a.stage == "running")
-                changed = bool(work.unstored) or (
-                    bool(shown) and not self.stored_running.get(work.job.ref)
-                )
-                if changed and now - self.flushed_at.get(work.job.ref, 0) >= FLUSH_US:
+                if now - self.flushed_at.get(work.job.ref, 0) < FLUSH_US:
+                    continue
+                shown = work.running
+                if work.unstored or (shown and not self.stored_running.get(work.job.ref)):
                     self.flushed_at[work.job.ref] = now
                     self.stored_running[work.job.ref] = shown
                     await self.store(self._progress(work))
--- a/basaltlead/sharing.py
+++ b/basaltlead/sharing.py
@@ -127,7 +127,7 @@
             ]
             waiting = sum(w.waiting * w.job.cpus for w in works)
             free = sum(
-                max(0.0, m.room(staying=True).cpus)
+                max(0.0, m.free.cpus)
                 for m in self.owner.block.machines.values()
                 if m.usable(now_us())
             )
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -99,7 +99,8 @@
         return demand.Due(work.asked_at + (work.job.due_us or 0))
 
     def wanted() -> dict[str, int]:
-        return demand.counts([late, hasty], story.now, due, story.block.guess_us, 0)
+        loads = demand.loads_of([late, hasty], story.now, story.block.guess_us)
+        return demand.counts([late, hasty], story.now, due, story.block.guess_us, 0, loads)
 
     assert wanted()[late.job.ref] == 0
     story.now += 61 * US
