Users' writes go before bookkeeping; sockets are shared by need; orders ask for their right last

- Machine records, results and rows to drop fill the limit on writes by themselves when hundreds of machines come up; acceptances and cancellations no longer queue behind them.
- A fifth of the sockets was kept for direct orders, resting or not (1,601 of 1,919 in use with 936 machines): connections that rest are now let go first.
- Questions to silent machines leave half of the calls to orders for the others.
- Orders, hires and returns ask for the right when they are sent: they may have waited.
- Malformed submissions are told apart when nothing can be taken.

--- a/basaltlead/clients/base.py
+++ b/basaltlead/clients/base.py
@@ -22,6 +22,7 @@
         self.gap = 1.0 / rate
         self.depth = (burst if burst is not None else rate) * self.gap
         self.full_at = 0.0
+        self.line = asyncio.Lock()  # of those who can wait
 
     def behind_s(self) -> float:
         """How long the next to come would have to wait."""
@@ -36,6 +37,20 @@
         if wait > 0:
             await asyncio.sleep(wait)
 
+    async def spare(self, amount: float = 1.0) -> None:
+        """For what can wait: one at a time, and only while half of the burst is left, so that
+        whoever calls `take` meanwhile finds no queue before it."""
+        loop = asyncio.get_running_loop()
+        async with self.line:
+            while True:
+                now = loop.time()
+                used = max(self.full_at, now) - now
+                wait = used - max(0.0, self.depth / 2 - amount * self.gap)
+                if wait <= 0:
+                    break
+                await asyncio.sleep(wait)
+            self.full_at = max(self.full_at, now) + amount * self.gap
+
 
 class Backoff:
     """Doubling pauses with jitter, in microseconds."""
--- a/basaltlead/clients/cloud.py
+++ b/basaltlead/clients/cloud.py
@@ -1,11 +1,14 @@
 """The cloud: machines by the second."""
 
+from collections.abc import Callable
 from urllib.parse import quote
 
 from basaltlead.clients.base import Budget, Unavailable, decode, encode
 from basaltlead.net.http import Failed, Pool
 from basaltlead.wire.cloud import Hire, MachineType, Names, Page, Rented, Types
 
+TIMEOUT_US = 4_000_000
+
 
 class NoCapacity(Exception):
     """None to be had of this type, zone and kind."""
@@ -17,10 +20,10 @@
         self.budget = Budget(max(0.2, rps * 0.85), burst=max(1.0, rps * 1.5))
 
     async def _call(
-        self, method: str, path: str, body: bytes = b"", timeout_us: int = 4_000_000
+        self, method: str, path: str, body: bytes = b"", still: Callable[[], bool] = lambda: True
     ) -> bytes:
         await self.budget.take()
-        status, answer = await self.pool.request(method, path, body, timeout_us)
+        status, answer = await self.pool.request(method, path, body, TIMEOUT_US, still)
         if status == 503 and b"no capacity" in answer:
             raise NoCapacity
         if status in (429, 503):
@@ -32,11 +35,12 @@
     async def types(self) -> list[MachineType]:
         return decode(await self._call("GET", "/machine_types"), Types).types
 
-    async def hire(self, request: Hire) -> list[str]:
-        return decode(await self._call("POST", "/machines", encode(request)), Names).machines
+    async def hire(self, request: Hire, still: Callable[[], bool]) -> list[str]:
+        answer = await self._call("POST", "/machines", encode(request), still)
+        return decode(answer, Names).machines
 
-    async def delete(self, names: list[str]) -> None:
-        await self._call("POST", "/machines/delete", encode(Names(names)))
+    async def delete(self, names: list[str], still: Callable[[], bool]) -> None:
+        await self._call("POST", "/machines/delete", encode(Names(names)), still)
 
     async def machines(self) -> list[Rented]:
         rented: list[Rented] = []
--- a/basaltlead/clients/state.py
+++ b/basaltlead/clients/state.py
@@ -48,6 +48,11 @@
         rate = write_rps * 0.85 * (0.6 if owners == 1 else 1 / owners)
         self.writes = Budget(max(0.5, rate), burst=max(1.0, rate))
 
+    def behind_s(self, writing: bool) -> float:
+        """How long a user's request would have to wait for its turn."""
+        waits = self.requests.behind_s()
+        return max(waits, self.writes.behind_s()) if writing else waits
+
     async def _call(
         self, method: str, path: str, body: Any = None, timeout_us: int = 1_500_000
     ) -> tuple[int, bytes]:
@@ -89,13 +94,15 @@
         return rows, first.revision
 
     async def multi(
-        self, guards: list[Guard], apply: Sequence[Put | Drop], timeout_us: int = 1_500_000
+        self, guards: list[Guard], apply: Sequence[Put | Drop], can_wait: bool = False
     ) -> int:
-        """One transaction; its revision. Conflict, NoHold, Unavailable, or Failed if unknown."""
-        await self.writes.take(max(1, len(apply)))
-        status, body = await self._call(
-            "POST", "/multi", Transaction(guards, list(apply)), timeout_us
-        )
+        """One transaction; its revision. Conflict, NoHold, Unavailable, or Failed if unknown.
+
+        Bookkeeping can wait: with hundreds of machines it alone would fill the limit on writes,
+        and users' submissions and cancellations go first."""
+        turn = self.writes.spare if can_wait else self.writes.take
+        await turn(max(1, len(apply)))
+        status, body = await self._call("POST", "/multi", Transaction(guards, list(apply)))
         if status == 200:
             return decode(body, Outcome).revision
         if status == 409:
--- a/basaltlead/clients/workers.py
+++ b/basaltlead/clients/workers.py
@@ -1,6 +1,7 @@
 """Direct commands to workers."""
 
 import asyncio
+from collections.abc import Callable
 
 from basaltlead.clients.base import decode, encode
 from basaltlead.net.http import Failed, Pool
@@ -14,31 +15,45 @@
     and of the connections that rest, the one that was not used for longest is closed.
     """
 
-    def __init__(self, most: int, timeout_us: int = 2_000_000) -> None:
+    def __init__(
+        self, most: int, room: Callable[[], int] | None = None, timeout_us: int = 2_000_000
+    ) -> None:
+        """`room` tells how many may be open now; fewer than `most` when others need them."""
         self.timeout_us = timeout_us
         self.most = most
+        self.room = room or (lambda: most)
         self.pools: dict[str, Pool] = {}  # the least recently used first
         self.calls = asyncio.Semaphore(most)
 
-    async def command(self, address: str, command: Command) -> tuple[bool, Report]:
-        """(executed, the worker's report); `Failed` when there is no answer."""
+    async def command(
+        self, address: str, command: Command, still: Callable[[], bool] = lambda: True
+    ) -> tuple[bool, Report]:
+        """(executed, the worker's report); `Failed` when there is no answer, or when the order
+        is no longer ours to give once its turn has come."""
         async with self.calls:
             pool = self.pools.pop(address, None)
             if pool is None:
                 pool = Pool(address, limit=1, max_body=4 * 1024 * 1024)
-            self.pools[address] = pool
             self._make_room()
-            status, body = await pool.request("POST", "/do", encode(command), self.timeout_us)
+            self.pools[address] = pool
+            status, body = await pool.request(
+                "POST", "/do", encode(command), self.timeout_us, still
+            )
         if status not in (200, 409):
             raise Failed(f"worker: {status}", sent=True)
         return status == 200, decode(body, Report)
 
     def _make_room(self) -> None:
-        for address, pool in list(self.pools.items()):
-            if len(self.pools) <= self.most:
-                return
-            if not pool.busy:
-                self.forget(address)
+        while len(self.pools) >= min(self.most, self.room()) and self.let_go():
+            pass
+
+    def let_go(self) -> bool:
+        """Close the connection that has rested for longest; False if all are in use."""
+        idle = next((address for address, pool in self.pools.items() if not pool.busy), None)
+        if idle is None:
+            return False
+        self.forget(idle)
+        return True
 
     def forget(self, address: str) -> None:
         pool = self.pools.pop(address, None)
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -69,14 +69,20 @@
         self.brake = Brake()
 
     async def handle(self, request: Request) -> Response:
-        if self.state.requests.behind_s() > MOST_QUEUED_S:
+        sent: Submission | None = None
+        if request.path == "/api/jobs" and request.method == "POST":
+            try:  # malformed is malformed, also when nothing can be taken
+                sent = msgspec.json.decode(request.body, type=Submission)
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+                return refusal(400, str(fault)[:200])
+        if self.state.behind_s(writing=request.method == "POST") > MOST_QUEUED_S:
             return refusal(503, "busy", MUCH_LATER)
         if not self.limiter.enter():
             return refusal(503, "busy", LATER)
         started = now_us()
         try:
             async with asyncio.timeout(ANSWER_S.get(request.method, 1.0)):
-                return await self._route(request)
+                return await (self.submit(sent) if sent else self._route(request))
         except TimeoutError:
             return refusal(503, "no answer in time", LATER)
         except (Failed, Unavailable, Conflict, NoHold) as fault:
@@ -89,9 +95,7 @@
     async def _route(self, request: Request) -> Response:
         rest = request.path.removeprefix("/api/jobs")
         if rest == "":
-            if request.method != "POST":
-                return refusal(405, "use POST")
-            return await self.submit(request.body)
+            return refusal(405, "use POST")
         ref, _, verb = rest[1:].partition("/")
         if verb not in ("", "cancel"):
             return refusal(404, "no such path")
@@ -103,11 +107,7 @@
 
     # Submit
 
-    async def submit(self, body: bytes) -> Response:
-        try:
-            sent = msgspec.json.decode(body, type=Submission)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
-            return refusal(400, str(fault)[:200])
+    async def submit(self, sent: Submission) -> Response:
         final = self.finals.get(sent.ref)
         if final is not None:
             return told(200, sent.ref, final.stage, final.done)
--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -73,7 +73,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
 
     def data_received(self, data: bytes) -> None:
         self.since = self.server.loop.time()
@@ -158,6 +158,7 @@
     def answer(self, response: Response, close: bool = False) -> None:
         self.busy = False
         self.since = self.server.loop.time()
+        self.server.used(self)
         if self.transport is None or self.transport.is_closing():
             return
         close = close or self.closing
@@ -190,13 +191,25 @@
 
 
 class Server:
-    """A listening address and its connections, bounded in number."""
-
-    def __init__(self, handler: Handler, limit: int) -> None:
+    """A listening address and its connections, bounded in number.
+
+    `others` tells how many sockets of the same limit are in use elsewhere, and `yields` closes
+    one of those that rest, if there is any: nobody who comes to us is refused for those.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limit: int,
+        others: Callable[[], int] = lambda: 0,
+        yields: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.handler = handler
         self.limit = limit
+        self.others = others
+        self.yields = yields
         self.loop = asyncio.get_running_loop()
-        self.connections: set[ServerProtocol] = set()
+        self.connections: dict[ServerProtocol, None] = {}  # the longest unused first
         self.tasks: set[asyncio.Future[Response]] = set()
         self.listener: asyncio.Server | None = None
 
@@ -205,16 +218,20 @@
         self.loop.call_later(5.0, self._sweep)
 
     def opened(self, connection: ServerProtocol) -> None:
-        if len(self.connections) >= self.limit:
-            resting = [c for c in self.connections if not c.busy and not c.started]
-            oldest = min(resting, key=lambda c: c.since, default=None)
-            victim = oldest if oldest is not None else connection
+        if len(self.connections) + self.others() >= self.limit and not self.yields():
+            resting = (c for c in self.connections if not c.busy and not c.started)
+            victim = next(resting, connection)
             if victim.transport is not None:
                 victim.transport.abort()
             if victim is connection:
                 return
-            self.connections.discard(victim)
-        self.connections.add(connection)
+            self.connections.pop(victim, None)
+        self.connections[connection] = None
+
+    def used(self, connection: ServerProtocol) -> None:
+        if connection in self.connections:
+            del self.connections[connection]
+            self.connections[connection] = None
 
     def _sweep(self) -> None:
         now = self.loop.time()
@@ -311,9 +328,16 @@
             self.resting.remove(connection)
 
     async def request(
-        self, method: str, path: str, body: bytes = b"", timeout_us: int = 2_000_000
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_us: int = 2_000_000,
+        still: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
-        """Send one request and await its answer; `Failed` when there is none in time."""
+        """Send one request and await its answer; `Failed` when there is none in time. What a
+        right is needed for asks `still` at the last moment: it may have waited for a
+        connection, or the whole process may have stood still."""
         connection: ClientProtocol | None = None
         sent = False
         self.running += 1
@@ -324,6 +348,8 @@
                 connection.reply = loop.create_future()
                 if connection.transport is None:
                     raise Failed("connection lost", sent=False)
+                if not still():
+                    raise Failed("the right has ended", sent=False)
                 sent = True
                 connection.transport.write(
                     f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n"
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -23,7 +23,7 @@
 from basaltlead.net.http import Failed, Request, Response, Server
 from basaltlead.owner import Owner, limits_of
 from basaltlead.peers import Peers
-from basaltlead.reach import worker_sockets
+from basaltlead.reach import LEAST_SOCKETS
 from basaltlead.records import HIRE, LEASE, MACHINE, OPEN, TYPES, kind_of
 from basaltlead.renting import Renting
 from basaltlead.settings import Settings
@@ -32,7 +32,9 @@
 from basaltlead.wire.workers import Elsewhere, Report
 
 BID_BYTES = 32  # what a bid takes of a stored record at most
-RESERVED_SOCKETS = 70  # for our own calls to state service, cloud and peers
+# For our own calls to state service, cloud and peers, the least that go to workers, and what the
+# process itself has open.
+RESERVED_SOCKETS = 80 + LEAST_SOCKETS
 
 report_decoder = msgspec.json.Decoder(Report)
 
@@ -62,12 +64,12 @@
         self.kept_types: set[str] = set()
         self.shop = Shop()
         self.brake = Brake()
+        self.server: Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        ours = RESERVED_SOCKETS + worker_sockets(self.settings)
-        limit = max(50, self.settings.facts.quota.fd_limit - ours)
-        server = Server(self.handle, limit)
+        limit = max(50, self.settings.facts.quota.fd_limit - RESERVED_SOCKETS)
+        server = self.server = Server(self.handle, limit, self._direct_sockets, self._let_go)
         await server.start(self.settings.front)
         await self.peers.serve()
         log.info("%s listens on %s", self.settings.member, self.settings.front)
@@ -127,11 +129,27 @@
             self.settings, self.member, self.state, number, grant, stamp, market, self.kinds
         )
         owner.foreign = lambda name: self.leasing.block_of(name) not in (None, number)
+        owner.sockets_left = self._sockets_left
         renting = Renting(self.settings, self.cloud, owner, market, self.shop)
         owner.on_loaded = renting.start
         self.owners[number] = owner
         owner.start()
 
+    # Sockets: those who come to us and direct orders share one limit
+
+    def _direct_sockets(self) -> int:
+        return sum(len(owner.reach.workers.pools) for owner in self.owners.values())
+
+    def _let_go(self) -> bool:
+        return any(owner.reach.workers.let_go() for owner in self.owners.values())
+
+    def _sockets_left(self) -> int:
+        """How many may go to the workers of one owner now."""
+        if self.server is None:
+            return LEAST_SOCKETS
+        left = self.server.limit - len(self.server.connections)
+        return max(LEAST_SOCKETS, left // max(1, len(self.owners)))
+
     def _closed(self, ref: str) -> None:
         for owner in self.owners.values():
             if owner.loaded:
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -90,6 +90,7 @@
         self.sharing = Sharing(self)
         self.on_loaded: Callable[[], None] = lambda: None
         self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
+        self.sockets_left: Callable[[], int] = lambda: 1_000_000  # for direct orders
 
     # Rights
 
@@ -340,7 +341,7 @@
         )  # fmt: skip
 
     async def _store_teams(self, puts: list[Put | Drop]) -> None:
-        await self.state.multi(self.guards(), puts)
+        await self.state.multi(self.guards(), puts, can_wait=True)
 
 
 def limits_of(settings: Settings) -> dict[str, Limits]:
--- a/basaltlead/reach.py
+++ b/basaltlead/reach.py
@@ -22,13 +22,17 @@
     from basaltlead.owner import Owner
 
 
+LEAST_SOCKETS = 8  # to workers, whoever else needs some
+
+
 def order_of(wish: Wish) -> Order:
     return Order(wish.verb, f"{wish.ref}/{wish.index}", wish.token, wish.grace_s)
 
 
 def worker_sockets(settings: Settings) -> int:
-    """How many of our sockets may go to workers; most are kept for those who come to us."""
-    return max(8, settings.facts.quota.fd_limit // 5)
+    """How many of our sockets may go to workers at most; they share with those who come to us,
+    and give way to them."""
+    return max(LEAST_SOCKETS, settings.facts.quota.fd_limit // 5)
 
 
 class Reach:
@@ -36,12 +40,19 @@
 
     def __init__(self, owner: "Owner") -> None:
         self.owner = owner
-        self.workers = Workers(worker_sockets(owner.settings))
+        most = worker_sockets(owner.settings)
+        self.workers = Workers(most, lambda: owner.sockets_left())
+        # Questions to silent machines take their whole time: with hundreds of those, orders for
+        # the others would have to wait behind them.
+        self.asking = asyncio.Semaphore(max(2, most // 2))
         self.pushing: set[str] = set()  # machines with direct orders under way
         self.probing: set[str] = set()  # machines that are being asked whether they hear us
         self.recording: set[str] = set()  # machines that are being written down
         self.heard_at = 0  # the last word of any machine that shows our baton
 
+    def _acts(self) -> bool:
+        return self.owner.acts
+
     def close(self) -> None:
         for address in list(self.workers.pools):
             self.workers.forget(address)
@@ -68,7 +79,7 @@
         try:
             orders = [order_of(wish) for wish in wishes]
             command = Command(self.owner.grant.baton, machine.session, orders)
-            executed, report = await self.workers.command(machine.address, command)
+            executed, report = await self.workers.command(machine.address, command, self._acts)
             if self.owner.resigned or report.machine != machine.name:
                 executed = None
             else:
@@ -154,7 +165,10 @@
                     return
                 try:
                     command = Command(self.owner.grant.baton, session, [])
-                    executed, report = await self.workers.command(machine.address, command)
+                    async with self.asking:
+                        executed, report = await self.workers.command(
+                            machine.address, command, self._acts
+                        )
                 except Failed:
                     if machine.name not in self.owner.block.risky:
                         machine.quiet_until = now_us() + 2 * US
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -55,6 +55,9 @@
         self.owner.spawn(self._list(), "loop list")
         self.owner.spawn(self._delete(), "loop delete")
 
+    def _acts(self) -> bool:
+        return self.owner.acts
+
     # What is wanted
 
     def needs(self, now: int) -> list[Need]:
@@ -277,7 +280,7 @@
                     continue
                 try:
                     request = Hire(name, stored.kind, stored.zone, stored.spot, stored.number)
-                    names = await self.cloud.hire(request)
+                    names = await self.cloud.hire(request, self._acts)
                     break
                 except NoCapacity:
                     self.shop.refused(offer, self._held().get(offer, 0), now_us())
@@ -374,7 +377,8 @@
             ]  # fmt: skip
             if not waiting:
                 try:
-                    await self.owner.state.multi(self.owner.guards(), [Drop(HIRE + name)])
+                    drop = [Drop(HIRE + name)]
+                    await self.owner.state.multi(self.owner.guards(), drop, can_wait=True)
                     self.owner.hires.pop(name, None)
                 except TROUBLE:
                     return
@@ -389,7 +393,7 @@
             if not names or not self.owner.acts:
                 continue
             try:
-                await self.cloud.delete(names)
+                await self.cloud.delete(names, self._acts)
                 backoff.reset()
             except (Failed, Unavailable, NoCapacity) as fault:
                 log.info("deleting machines: %s", fault)
@@ -407,9 +411,8 @@
     async def _forget(self, names: list[str]) -> None:
         for _ in range(5):
             try:
-                await self.owner.state.multi(
-                    self.owner.guards(), [Drop(MACHINE + name) for name in names]
-                )
+                drops = [Drop(MACHINE + name) for name in names]
+                await self.owner.state.multi(self.owner.guards(), drops, can_wait=True)
                 return
             except (Failed, Unavailable):
                 await asyncio.sleep(0.5)
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -80,7 +80,7 @@
         for number, indices in list(parts.items()):
             row = progress_of(work, number)
             await self.owner.state.multi(
-                guards, [Put(progress_key(ref, self.owner.number, number), row)]
+                guards, [Put(progress_key(ref, self.owner.number, number), row)], can_wait=True
             )
             self.owner.block.stored(work, indices)
 
@@ -112,4 +112,6 @@
         log.info("job %s done after %.1f s", ref, (now_us() - work.asked_at) / US)
         self.owner.close(ref)
         for low in range(max(0, room), len(drops), room + 2):  # rows nobody reads any more
-            await self.owner.state.multi(self.owner.guards(), drops[low : low + room + 2])
+            await self.owner.state.multi(
+                self.owner.guards(), drops[low : low + room + 2], can_wait=True
+            )
--- a/basaltlead/sharing.py
+++ b/basaltlead/sharing.py
@@ -146,4 +146,5 @@
         return self.owner.block.teams.get(team, Limits()).counted
 
     async def _store_load(self, load: Load) -> None:
-        await self.owner.state.multi(self.owner.guards(), [Put(load_key(self.owner.number), load)])
+        puts = [Put(load_key(self.owner.number), load)]
+        await self.owner.state.multi(self.owner.guards(), puts, can_wait=True)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -167,6 +167,10 @@
         self.machines: dict[str, FakeWorker] = {}
         self.count = 0
         self.capacity = 12
+        self.page = 500  # rows of a page of the list at most
+        self.lag = 2.0  # how old a page of the list is, at least; some are twice that old
+        self.mute = 0  # that many hires will be executed without an answer
+        self.past: dict[str, tuple[float, float, dict[str, Any]]] = {}  # born, gone, row
 
     async def start(self) -> None:
         await Server(self.handle, 1000).start(self.ADDRESS)
@@ -177,13 +181,13 @@
         if path == "/machine_types":
             return reply(200, {"Grades": list(self.TYPES)})
         if path == "/machines" and request.method == "GET":
-            rows = [w.listed() for w in self.machines.values() if w.age() > 2]
-            return reply(200, {"Anvils": rows, "HasNext": False})
+            return self._list({k: v[0] for k, v in parse_qs(request.query).items()})
         body = json.loads(request.body)
         if path == "/machines/delete":
             for name in body["Anvils"]:
                 worker = self.machines.pop(name, None)
                 if worker is not None:
+                    self.past[name] = (worker.born, self.world.loop.time(), worker.listed())
                     worker.stop()
             return reply(200, {})
         if body["Hire"] not in self.hires:
@@ -200,8 +204,21 @@
                 )
                 names.append(name)
             self.hires[body["Hire"]] = names
+        if self.mute:
+            self.mute -= 1
+            await asyncio.sleep(30)
         return reply(200, {"Anvils": self.hires[body["Hire"]]})
 
+    def _list(self, query: dict[str, str]) -> Response:
+        """Each page shows the machines of a moment of its own: new ones are missing, and those
+        that are gone still stand there."""
+        at = self.world.loop.time() - self.lag * self.world.chance.uniform(1.0, 2.0)
+        rows = {name: w.listed() for name, w in self.machines.items() if w.born <= at}
+        rows |= {name: row for name, (born, gone, row) in self.past.items() if born <= at < gone}
+        names = sorted(name for name in rows if name > query.get("Since", ""))
+        shown = names[: min(self.page, int(query.get("Most", "500")))]
+        return reply(200, {"Anvils": [rows[n] for n in shown], "HasNext": len(names) > len(shown)})
+
 
 class FakeWorker:
     """A machine: boots, reports, runs tasks, obeys tokens and its lease."""
@@ -218,7 +235,8 @@
         self.kind = kind
         self.zone = zone
         self.spot = spot
-        self.host = f"10.1.0.{int(name[2:]) % 250}"
+        number = int(name[2:])
+        self.host = f"10.1.{number // 250 % 4}.{number % 250}"
         self.address = f"{self.host}:9000"
         self.born = self.loop.time()
         self.session = 1
@@ -607,6 +625,13 @@
                 task.cancel()
         self.net.power_off(self.host(name))
 
+    def freeze(self, name: str) -> None:
+        """The controller stands still; its clocks run on."""
+        self.loop.freeze(self.host(name))
+
+    def thaw(self, name: str) -> None:
+        self.loop.thaw(self.host(name))
+
     def isolate(self, name: str, state: bool = True, cloud: bool = True) -> None:
         """Cut a controller off from everybody, or from all but some."""
         for host in self._around(name, state, cloud):
@@ -631,7 +656,7 @@
 
     def _around(self, name: str, state: bool, cloud: bool) -> list[str]:
         out = [self.host(n) for n in self.nodes if n != name]
-        out += [f"10.1.0.{i}" for i in range(250)]
+        out += [f"10.1.{i // 250}.{i % 250}" for i in range(1000)]
         out += ["10.9.9.9"]
         return out + [FakeState.HOST] * state + [FakeCloud.HOST] * cloud
 
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -46,7 +46,7 @@
         world.rejoin(name, deliver=chance.random() < 0.7)
 
     async def crash(name: str, seconds: float) -> None:
-        if name in world.running:
+        if name in world.running and world.host(name) not in world.loop.frozen:
             world.crash(name)
             await asyncio.sleep(seconds)
             if name not in world.running:
@@ -92,6 +92,24 @@
         await asyncio.sleep(seconds)
         world.net.refusing -= internal
 
+    async def stand_still(name: str, seconds: float) -> None:
+        world.freeze(name)
+        await asyncio.sleep(seconds)
+        world.thaw(name)
+
+    async def hang_many(seconds: float) -> None:
+        machines = [m for m in world.cloud.machines.values() if m.up and chance.random() < 0.4]
+        for machine in machines:
+            machine.hung = True
+        await asyncio.sleep(seconds)
+        for machine in machines:
+            machine.hung = False
+
+    async def die_many() -> None:
+        for name in list(world.cloud.machines):
+            if chance.random() < 0.3:
+                world.cloud.machines.pop(name).stop()
+
     async def die() -> None:
         if world.cloud.machines:
             name = chance.choice(list(world.cloud.machines))
@@ -101,7 +119,9 @@
         await asyncio.sleep(chance.uniform(1, 8))
         name = chance.choice(world.nodes)
         seconds = chance.choice([0.3, 2.0, 7.0, 15.0])
-        kind = chance.randrange(14)
+        kind = chance.randrange(17)
+        if world.host(name) in world.loop.frozen:
+            continue  # nothing else can befall it
         if kind == 0:
             work = cut(name, True, seconds)
         elif kind == 1:
@@ -126,6 +146,12 @@
             work = slow_state(seconds)
         elif kind == 12:
             work = peers_refuse(seconds)
+        elif kind == 13:
+            work = stand_still(name, seconds)
+        elif kind == 14:
+            work = hang_many(seconds)
+        elif kind == 15:
+            work = die_many()
         else:
             work = die()
         pending.append(asyncio.get_running_loop().create_task(work))
@@ -134,14 +160,24 @@
 @pytest.mark.parametrize("blocks", [1, 3])
 @pytest.mark.parametrize("seed", range(10))
 def test_no_rule_breaks_on_a_day_of_random_failures(seed: int, blocks: int) -> None:
+    _play_day(seed, blocks, machines=12, jobs=25)
+
+
+@pytest.mark.parametrize("seed", range(100, 103))
+def test_no_rule_breaks_on_such_a_day_of_a_large_fleet(seed: int) -> None:
+    _play_day(seed, blocks=1, machines=70, jobs=70)
+
+
+def _play_day(seed: int, blocks: int, machines: int, jobs: int) -> None:
     async def story(loop: Loop) -> None:
         chance = random.Random(seed)
-        limits = {"blue": 6.0} if seed % 2 else None
+        limits = {"blue": machines / 2} if seed % 2 else None
         world = World(loop, seed, limits=limits, operator={"blocks": blocks})
         world.copies = 0.1
+        world.cloud.capacity = machines
         await world.start()
         trouble = loop.create_task(_trouble(world, chance))
-        users = loop.create_task(_users(world, chance, 25))
+        users = loop.create_task(_users(world, chance, jobs))
         while not users.done():
             world.referee.check()
             for block in range(blocks):
@@ -155,12 +191,14 @@
         world.net.slow.clear()
         world.net.refusing.clear()
         for name in world.nodes:
+            world.thaw(name)
             world.rejoin(name)
             world.net.heal(world.host(name), world.state.HOST)
             if name not in world.running:
                 world.boot(name)
         for machine in world.cloud.machines.values():
             machine.hung = machine.deaf = False
+        assert not any(task.done() for task in world.running.values())
         left = [ref for ref in world.jobs if ref not in world.referee.cancelled_at]
         await world.until_done(*left, seconds=400)
         world.verdict()
--- /dev/null
+++ b/tests/test_fleets.py
@@ -0,0 +1,124 @@
+"""Stories of a whole fleet: many machines at once, pages that differ in age, unanswered hires."""
+
+import asyncio
+
+from tests.fakes import FakeWorker, World
+from tests.world import Loop, play
+
+
+async def _full(world: World, gangs: int, arrays: int) -> list[str]:
+    """A fleet that is busy with gangs of three and arrays of eight."""
+    await world.start()
+    refs = []
+    for number in range(1, gangs + arrays + 1):
+        gang = number <= gangs
+        job = world.job(
+            number, Shape="group" if gang else "batch", Pieces=3 if gang else 8,
+            Cores=3.0 if gang else 2.0, OneZone=gang, Rank="high" if gang else "best_effort",
+            RunS=25.0, MarkEveryS=5.0 if gang else 0.0, MarkS=1.0 if gang else 0.0,
+        )  # fmt: skip
+        await world.submit(job)
+        refs.append(job["Ref"])
+    await world.until(lambda: sum(m.up for m in world.cloud.machines.values()) >= 40)
+    await asyncio.sleep(3)
+    return refs
+
+
+def test_gangs_gather_again_after_many_machines_die_and_hang_at_once() -> None:
+    """And those that neither died nor hung are not counted as lost, nor replaced twice."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 60
+        refs = await _full(world, gangs=8, arrays=20)
+        machines = list(world.cloud.machines.values())
+        hung, dead, well = machines[:12], machines[12:24], machines[24:]
+        for machine in hung:
+            machine.hung = True
+        for machine in dead:
+            machine.stop()
+            del world.cloud.machines[machine.name]
+        before = world.cloud.count
+        at = loop.time()
+        while loop.time() < at + 1.5 * FakeWorker.LEASE:
+            assert all(m.name in world.cloud.machines for m in well if m.tasks)
+            await asyncio.sleep(0.5)
+        assert all(m.session == 1 for m in well if m.name in world.cloud.machines)
+        for machine in hung:
+            machine.hung = False
+        await world.until_done(*refs, seconds=300)
+        assert world.cloud.count - before <= 2 * len(hung + dead)
+        world.verdict()
+
+    play(story)
+
+
+def test_a_new_owner_of_many_machines_serves_them_within_their_leases() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 80
+        refs = await _full(world, gangs=8, arrays=30)
+        for _ in range(2):  # and again before the first takeover is complete
+            for name in list(world.running):
+                world.crash(name)
+            await asyncio.sleep(0.5)
+            for name in world.nodes:
+                world.boot(name)
+            await asyncio.sleep(0.2)
+        await world.until(lambda: world.owner() is not None, seconds=FakeWorker.LEASE)
+        await world.until_done(*refs, seconds=300)
+        assert sum(m.session > 1 for m in world.cloud.machines.values()) == 0
+        world.verdict()
+
+    play(story)
+
+
+def test_pages_of_the_list_that_differ_in_age_lose_no_machine() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 30
+        world.cloud.page = 4
+        world.cloud.lag = 4.0
+        await world.start()
+        world.cloud.mute = 2  # and two hires are carried out, but never answered
+        await world.submit(world.job(1, Pieces=60, RunS=30.0))
+        await world.until_done("req-000001", seconds=200)
+        await asyncio.sleep(60)
+        name = world.owner()
+        assert name is not None
+        known = set(world.parts[name].owners[0].block.machines)
+        assert set(world.cloud.machines) <= known  # each is used or returned
+        assert world.referee.starts == 60
+        world.verdict()
+
+    play(story)
+
+
+def test_a_controller_that_stood_still_believes_nothing_it_believed_before() -> None:
+    """Its clocks ran on: what it believed when it stopped is checked against them."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(6, 60.0)
+        for number, seconds in enumerate((1.0, 3.0, 1.5 * FakeWorker.LEASE), start=2):
+            holder = world.owner() or owner
+            for more in range(4):
+                await world.submit(world.job(10 * number + more, Pieces=3, RunS=5.0))
+            world.freeze(holder)
+            others = [name for name in world.nodes if name != holder]
+            end = loop.time() + seconds
+            assert await world.cancel(f"req-{10 * number:06d}", others[0]) == "withdrawn"
+            while loop.time() < end:
+                world.owner()  # never two, and a frozen one's right ends by the clock
+                await asyncio.sleep(0.25)
+            world.thaw(holder)
+            for _ in range(40):
+                world.owner()
+                world.referee.check()
+                await asyncio.sleep(0.05)
+            assert await world.poll(f"req-{10 * number:06d}", holder) in ("withdrawn", "503")
+        await world.until_done("req-000001", seconds=200)
+        await world.until_done(*[f"req-{10 * n + m:06d}" for n in (2, 3, 4) for m in (1, 2, 3)])
+        world.verdict()
+
+    play(story)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,7 +12,7 @@
 from basaltlead.core.picture import Limits
 from tests.test_block import KIND, Story, a_job
 
-MACHINES = 240
+MACHINES = 930
 
 
 class Counted:
@@ -31,7 +31,7 @@
         return counting
 
 
-def _full(jobs: int = 30, tasks: int = 300) -> Story:
+def _full(jobs: int = 100, tasks: int = 300) -> Story:
     story = Story(machines=0, limits={"red": Limits()})
     for number in range(MACHINES):
         story.add(f"m-{number:03d}", zone="abc"[number % 3])
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
+
+from basaltlead.clients.base import Budget
 from basaltlead.clients.workers import Workers
-from basaltlead.net.http import Pool, Request, Server
-from basaltlead.wire.workers import Command
+from basaltlead.net.http import Failed, Pool, Request, Response, Server
+from basaltlead.wire.workers import Command, Order
 from tests.fakes import FakeWorker, World
 from tests.world import Loop, play
 
@@ -264,6 +267,8 @@
         await world.busy(1, 60.0)
         desk = world.parts["node-0"].desk
         desk.state.requests.full_at = loop.time() + 60.0
+        bad = await desk.handle(Request("POST", "/api/jobs", "", b"[]"))
+        assert bad.status == 400  # malformed is told apart, and not asked again
         pool = Pool(dict(world.fronts())["node-0"], 1)
         asked = loop.time()
         status, _ = await pool.request("GET", "/api/jobs/req-000001")
@@ -303,6 +308,79 @@
     play(story)
 
 
+def test_bookkeeping_waits_while_users_write() -> None:
+    """Hundreds of machines and results fill the limit on writes by themselves."""
+
+    async def story(loop: Loop) -> None:
+        budget = Budget(rate=20.0)
+        records = [loop.create_task(budget.spare(4)) for _ in range(50)]
+        for _ in range(10):
+            await asyncio.sleep(0.5)
+            asked = loop.time()
+            await budget.take()  # a submission
+            assert loop.time() - asked < 0.1
+        assert 15 <= sum(record.done() for record in records) < 50  # and they do get their turn
+        await asyncio.gather(*records)
+
+    play(story)
+
+
+def test_connections_that_rest_are_let_go_before_anybody_is_refused() -> None:
+    """Direct orders and those who come to us share one limit on sockets."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(1, 60.0)
+        machine = next(iter(world.cloud.machines.values()))
+        workers = Workers(most=4)
+
+        def handle(request: Request) -> Response:
+            return Response(200, b"{}")
+
+        server = Server(handle, 6, lambda: len(workers.pools), workers.let_go)
+        await server.start("10.0.0.9:80")
+        for number in range(4):
+            address = f"10.1.1.{number}:9000"
+            await Server(machine.handle, 100).start(address)
+            await workers.command(address, Command(0, 1, []))
+        assert len(workers.pools) == 4
+        comers = [Pool("10.0.0.9:80", 1) for _ in range(6)]
+        for comer in comers:
+            assert (await comer.request("GET", "/"))[0] == 200
+        assert len(workers.pools) == 0 and len(server.connections) == 6
+        assert all(comer.resting for comer in comers)  # nobody was thrown out
+        late = Pool("10.0.0.9:80", 1)
+        assert (await late.request("GET", "/"))[0] == 200  # now the longest unused goes
+        await asyncio.sleep(0.1)
+        assert [bool(comer.resting) for comer in comers] == [False] + [True] * 5
+
+    play(story)
+
+
+def test_an_order_whose_turn_comes_after_its_right_has_ended_is_not_given() -> None:
+    """It may have waited for a socket, or the whole controller stood still meanwhile."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        name = await world.busy(1, 60.0)
+        owner = world.parts[name].owners[0]
+        (machine,) = [m for m in owner.block.machines.values() if m.attempts]
+        (attempt,) = machine.attempts.values()
+        halt = Order("halt", "req-000001/0", attempt.token, 0.0)
+        workers = Workers(most=1)
+        async with workers.calls:
+            command = Command(owner.grant.baton, machine.session, [halt])
+            asked = loop.create_task(workers.command(machine.address, command, lambda: owner.acts))
+            await asyncio.sleep(0.1)
+            owner.resigned = True
+        with pytest.raises(Failed) as caught:
+            await asked
+        assert not caught.value.sent and world.on("req-000001") == ["req-000001/0"]
+        world.verdict()
+
+    play(story)
+
+
 def test_nobody_starves_behind_a_stream_of_higher_work_on_a_fleet_that_is_too_small() -> None:
     """A best-effort array of 1,000 tasks begins within four minutes, and goes on."""
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -115,8 +115,14 @@
         self.order[id(end)] = at + 1e-7
         self.loop.call_at(at, self._arrive, end, data)
 
+    def _arrive(self, end: Transport, data: bytes | None) -> None:
+        """What arrives is the receiver's to deal with: on its host, and when it is awake."""
+        context = contextvars.copy_context()
+        context.run(HOST.set, end.there)
+        self.loop.call_soon(self._take, end, data, context=context)
+
     @staticmethod
-    def _arrive(end: Transport, data: bytes | None) -> None:
+    def _take(end: Transport, data: bytes | None) -> None:
         other = end.other
         if other is None or other.closed or other.protocol is None:
             return
@@ -173,10 +179,33 @@
         super().__init__()
         self._selector = _Selector()
         self.net = Network(self, random.Random(seed))
+        self.frozen: dict[str, list[tuple[Any, Any, contextvars.Context]]] = {}
 
     def time(self) -> float:
         return self._selector.now
 
+    # Hosts that stand still: their clocks run on, and all that falls due waits
+
+    def freeze(self, host: str) -> None:
+        self.frozen.setdefault(host, [])
+
+    def thaw(self, host: str) -> None:
+        for callback, args, context in self.frozen.pop(host, []):
+            self.call_soon(callback, *args, context=context)
+
+    def _awake(self, callback: Any, *args: Any) -> None:
+        waiting = self.frozen.get(HOST.get())
+        if waiting is None:
+            callback(*args)
+        else:
+            waiting.append((callback, args, contextvars.copy_context()))
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> Any:
+        return super().call_soon(self._awake, callback, *args, context=context)
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> Any:
+        return super().call_at(when, self._awake, callback, *args, context=context)
+
     def _process_events(self, event_list: Any) -> None:
         pass
 
