--- a/basaltlead/reach.py
+++ b/basaltlead/reach.py
@@ -117,7 +117,8 @@
             # Guarded on there being no such record: a machine belongs to the first block that
             # writes it down.
             guards = [*self.owner.guards(), Guard(MACHINE + machine.name, 0)]
-            await self.owner.state.multi(guards, [Put(MACHINE + machine.name, stored)])
+            puts = [Put(MACHINE + machine.name, stored)]
+            await self.owner.state.multi(guards, puts, can_wait=True)
         except Conflict as conflict:
             if MACHINE + machine.name not in conflict.failed or not await self._is_ours(machine):
                 return
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -554,6 +554,7 @@
         self.limits = limits or {}
         self.nodes = [f"node-{i}" for i in range(nodes)]
         self.operator = operator or {}
+        self.write_rps = 200.0  # changes a second that the state service takes
         self.copies = 0.0  # how many of the workers' reports arrive a second time, late
         self.state = FakeState(loop)
         self.cloud = FakeCloud(self)
@@ -599,7 +600,7 @@
                         "report_s": FakeWorker.REPORT, "lease_s": FakeWorker.LEASE,
                         "gang_wait_s": 20.0, "gang_peer_s": 4.0, "cancel_s": self.CANCEL,
                     },
-                    "state": {"rps": 500.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 8},
+                    "state": {"rps": 500.0, "write_rps": self.write_rps, "value_kb": 8.0, "txn_ops": 8},
                     "cloud": {"rps": 10.0, "list_lag_s": 2.0},
                 },
             },
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -73,6 +73,30 @@
     play(story)
 
 
+def test_submissions_are_taken_at_once_while_a_whole_fleet_comes_up() -> None:
+    """Its records and results alone would fill the limit on writes for many seconds."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 100
+        world.write_rps = 30.0
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        owner = world.owner()
+        for number in range(1, 41):
+            await world.submit(world.job(number, Pieces=12, RunS=4.0), owner)
+        for number in range(41, 141):
+            asked = loop.time()
+            await world.submit(world.job(number, RunS=2.0), owner)
+            assert loop.time() - asked < 0.3
+            await asyncio.sleep(0.3)
+        assert world.cloud.count > 60
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 141)], seconds=300)
+        world.verdict()
+
+    play(story)
+
+
 def test_pages_of_the_list_that_differ_in_age_lose_no_machine() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
