--- a/basaltlead/clients/base.py
+++ b/basaltlead/clients/base.py
@@ -46,9 +46,9 @@
                 now = loop.time()
                 used = max(self.full_at, now) - now
                 wait = used - max(0.0, self.depth / 2 - amount * self.gap)
-                if wait <= 0:
+                if wait <= 1e-6:
                     break
-                await asyncio.sleep(wait)
+                await asyncio.sleep(max(wait, 0.001))  # timers are no finer
             self.full_at = max(self.full_at, now) + amount * self.gap
 
 
