--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -288,6 +288,8 @@
         at = self.world.chance.randrange(len(nodes))
         pools: dict[str, Pool] = {}
         while True:
+            while self.hung:  # it says nothing either
+                await asyncio.sleep(0.1)
             _, address = nodes[at % len(nodes)]
             pool = pools.setdefault(address, Pool(address, 2))
             sent, session = self.loop.time(), self.session
@@ -600,7 +602,9 @@
                         "report_s": FakeWorker.REPORT, "lease_s": FakeWorker.LEASE,
                         "gang_wait_s": 20.0, "gang_peer_s": 4.0, "cancel_s": self.CANCEL,
                     },
-                    "state": {"rps": 500.0, "write_rps": self.write_rps, "value_kb": 8.0, "txn_ops": 8},
+                    "state": {
+                        "rps": 500.0, "write_rps": self.write_rps, "value_kb": 8.0, "txn_ops": 8,
+                    },
                     "cloud": {"rps": 10.0, "list_lag_s": 2.0},
                 },
             },
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,6 +1,7 @@
 """Hundreds of machines, thousands of tasks: the number of operations stays bounded. Controllers
 have a third of a core, so work that grows with machines times tasks is a fault."""
 
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -10,7 +11,8 @@
 from basaltlead.core.fleet import Need, Offer
 from basaltlead.core.model import US, Machine, Room, Work
 from basaltlead.core.picture import Limits
-from tests.test_block import KIND, Story, a_job
+from basaltlead.core.planning import plan
+from tests.test_block import KIND, TIMING, Story, a_job, listed
 
 MACHINES = 930
 
@@ -60,6 +62,72 @@
     assert count.calls < 16 * MACHINES
 
 
+def _full_of_arrays() -> Story:
+    """Every machine is full, and a hundred jobs wait that all ask for something else."""
+    story = Story(machines=0, limits={"red": Limits()})
+    for number in range(MACHINES):
+        story.add(f"m-{number:03d}", zone="abc"[number % 3])
+        story.beat(f"m-{number:03d}")
+    for number in range(100):
+        job = a_job(number, tasks=100, cpus=1.0 + number / 1000, memory_gb=0.1)
+        story.block.add_job(job, 200, story.now)
+    planning.plan(story.block, story.now)
+    return story
+
+
+def test_jobs_that_wait_for_a_full_fleet_cost_a_plan_next_to_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Passing over all machines for each of them, an owner of 600 spent a fifth of a core so."""
+    story = _full_of_arrays()
+    count = Counted(monkeypatch, (Room, "fits"), (Room, "holds"), (planning.placement, "tier"))
+    planning.plan(story.block, story.now)
+    assert count.calls < MACHINES
+
+
+def test_sizing_a_full_fleet_looks_at_full_machines_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    story = _full_of_arrays()
+    works = list(story.block.works.values())
+    running = sum(len(work.live) for work in works)
+    needs = [Need(work, work.remaining) for work in works]
+    machines = list(story.block.machines.values())
+    count = Counted(monkeypatch, (Room, "fits"), (Room, "holds"), (fleet, "allowed"))
+    fleet.size(needs, [], machines, {"k": KIND}, {}, {}, 12)
+    assert running >= 3 * MACHINES
+    assert count.calls < running + 2 * MACHINES
+
+
+def test_free_room_and_booked_bids_kept_by_the_way_are_what_a_fresh_count_gives() -> None:
+    """Plans trust them; a task that is counted twice or never given back would stay for good."""
+    story = Story(machines=6)
+    chance = random.Random(3)
+    for number in range(12):
+        work = story.submit(number, tasks=6, cpus=chance.choice([0.7, 1.1, 2.3]), rank=number % 3)
+        work.bid = chance.uniform(0.1, 5.0)
+    for step in range(60):
+        story.now += US
+        name = f"m-{chance.randrange(6)}"
+        machine = story.block.machines[name]
+        shown = [
+            listed(a, chance.choice(["running", "ended"]), "done")
+            for a in list(machine.attempts.values()) if a.there and chance.random() < 0.8
+        ]  # fmt: skip
+        story.beat(name, *shown)
+        if machine.attempts and step % 4 == 0:
+            story.block.stop_softly(chance.choice(list(machine.attempts.values())))
+        if step % 15 == 14:
+            story.now += TIMING.lapse_us
+            story.block.tick(story.now)
+        plan(story.block, story.now)
+        for one in story.block.machines.values():
+            staying = [a for a in one.attempts.values() if a.grace is None]
+            assert one.free.cpus == pytest.approx(4.0 - sum(a.work.job.cpus for a in staying))
+            assert one.booked == pytest.approx(sum(a.bid for a in staying))
+        for work in story.block.works.values():
+            waiting = work.remaining - sum(not work.is_done(index) for index in work.live)
+            assert work.waiting == waiting
+
+
 def test_a_waiting_gang_is_tried_once_a_plan_however_many_ask_for_the_same(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
