What completes a job never waits behind bookkeeping; machines of unknown size are a lot of their own

Found on reading the change again: the loop that stores results waited for its turn with an unfinished job's results, and with it those that users wait for.

--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -19,7 +19,8 @@
 # What a gang may have on one machine: cost of each place, name, machine, places, what must stop.
 Opening = tuple[float, str, Machine, int, list[Attempt]]
 Taken = tuple[Machine, int, list[Attempt]]
-Lots = dict[tuple[str, str, bool], list[Machine]]  # by type, zone, spot or not
+# By type, zone, spot or not, and size: a type that was not known when a machine was met has none.
+Lots = dict[tuple[str, str, bool, float], list[Machine]]
 
 
 def guaranteed(block: Block, work: Work) -> bool:
@@ -84,7 +85,7 @@
         works = order(self.block, self.now)
         least = min((work.job.cpus for work in works), default=0.0) - 1e-6
         for machine in self.usable:
-            lot = (machine.kind.name, machine.zone, machine.spot)
+            lot = (machine.kind.name, machine.zone, machine.spot, machine.kind.cpus)
             self.lots.setdefault(lot, []).append(machine)
             if machine.free.cpus >= least:
                 self.roomy.setdefault(lot, []).append(machine)
@@ -103,7 +104,7 @@
         a lot, not once a machine."""
         suited: list[Machine] = []
         for lot, machines in lots.items():
-            if allowed(work.job, *lot) and machines[0].kind.holds(work.job):
+            if allowed(work.job, *lot[:3]) and machines[0].kind.holds(work.job):
                 suited += machines
         if self.kept or work.failed_on:
             return [
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -146,6 +146,7 @@
         self.loaded = True
         self.on_loaded()
         self.spawn(self._watch(revision), "loop watch")
+        self.spawn(self.results.finish(), "loop finish")
         self.spawn(self.results.flush(), "loop flush")
         self.spawn(self._plan(), "loop plan")
         self.spawn(self._rounds(), "loop rounds")
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -40,17 +40,23 @@
         self.stored_running.pop(ref, None)
         self.flushed_at.pop(ref, None)
 
+    async def finish(self) -> None:
+        """Store at once what completes a job: users wait for it."""
+        while True:
+            await asyncio.sleep(0.1)
+            if self.owner.acts:
+                works = self.owner.block.works.values()
+                for work in [w for w in works if w.complete and not w.closed]:
+                    await self.store(self._finish(work))
+
     async def flush(self) -> None:
-        """Store results: those that complete a job at once, others now and then."""
+        """Store the results of unfinished jobs now and then: that can wait for its turn."""
         while True:
             await asyncio.sleep(0.1)
             if not self.owner.acts:
                 continue
             now = now_us()
-            works = [w for w in self.owner.block.works.values() if not w.closed]
-            for work in [w for w in works if w.complete]:
-                await self.store(self._finish(work))
-            for work in works:
+            for work in list(self.owner.block.works.values()):
                 if work.complete or work.closed:
                     continue
                 if now - self.flushed_at.get(work.job.ref, 0) < FLUSH_US:
@@ -60,8 +66,6 @@
                     self.flushed_at[work.job.ref] = now
                     self.stored_running[work.job.ref] = shown
                     await self.store(self._progress(work))
-                    if any(w.complete and not w.closed for w in works):
-                        break  # users wait for these; the others' results have time
 
     async def store(self, storing: Coroutine[Any, Any, None]) -> None:
         try:
