--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -97,6 +97,28 @@
     play(story)
 
 
+def test_a_job_is_done_in_time_while_bookkeeping_waits_for_its_turn() -> None:
+    """Storing results of unfinished jobs waits behind hundreds of records; the last result of a
+    job must not wait with them."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.write_rps = 30.0
+        name = await world.busy(8, 4.0)
+        await world.submit(world.job(2, Pieces=40, RunS=4.0))  # has results to store all the time
+        writes = world.parts[name].owners[0].state.writes
+        records = [loop.create_task(writes.spare(4)) for _ in range(100)]
+        await world.submit(world.job(3, RunS=2.0, Rank="high"))
+        await world.until(lambda: "req-000003/0" in world.referee.results, seconds=40)
+        await asyncio.sleep(3)
+        assert await world.poll("req-000003") == "done"
+        assert not all(record.done() for record in records)
+        await world.until_done("req-000001", "req-000002", seconds=100)
+        world.verdict()
+
+    play(story)
+
+
 def test_pages_of_the_list_that_differ_in_age_lose_no_machine() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
