--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -2,8 +2,12 @@
 
 import asyncio
 
+from basaltlead.clock import now_us
+from basaltlead.core.model import Machine
+from basaltlead.reach import Reach
+from basaltlead.wire.workers import Command
 from tests.fakes import FakeWorker, World
-from tests.world import Loop, play
+from tests.world import HOST, Loop, play
 
 
 async def _full(world: World, gangs: int, arrays: int) -> list[str]:
@@ -119,6 +123,31 @@
     play(story)
 
 
+def test_orders_do_not_wait_behind_questions_to_silent_machines() -> None:
+    """A zone that is cut off has hundreds of them, and each question takes its whole time."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        name = await world.busy(1, 60.0)
+        owner = world.parts[name].owners[0]
+        (live,) = [m for m in owner.block.machines.values() if m.attempts]
+        owner.reach = Reach(owner)
+        for number in range(2 * owner.reach.workers.most):
+            silent = Machine(f"m-9{number:05d}", live.kind, "b", False, now_us())
+            silent.address = f"10.1.3.{number}:9000"
+            world.net.cut(HOST.get(), f"10.1.3.{number}")  # this story asks from there
+            owner.block.add_machine(silent)
+            owner.reach.probe(silent)
+        await asyncio.sleep(0.1)
+        asked = loop.time()
+        command = Command(owner.grant.baton, live.session, [])
+        assert (await owner.reach.workers.command(live.address, command))[0]
+        assert loop.time() - asked < 0.1
+        world.verdict()
+
+    play(story)
+
+
 def test_pages_of_the_list_that_differ_in_age_lose_no_machine() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
