--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,7 +11,6 @@
 from basaltlead.core.fleet import Need, Offer
 from basaltlead.core.model import US, Machine, Room, Work
 from basaltlead.core.picture import Limits
-from basaltlead.core.planning import plan
 from tests.test_block import KIND, TIMING, Story, a_job, listed
 
 MACHINES = 930
@@ -33,11 +32,16 @@
         return counting
 
 
-def _full(jobs: int = 100, tasks: int = 300) -> Story:
+def _fleet() -> Story:
     story = Story(machines=0, limits={"red": Limits()})
     for number in range(MACHINES):
         story.add(f"m-{number:03d}", zone="abc"[number % 3])
         story.beat(f"m-{number:03d}")
+    return story
+
+
+def _full(jobs: int = 100, tasks: int = 300) -> Story:
+    story = _fleet()
     for number in range(jobs):
         gang = number % 5 == 0
         story.block.add_job(
@@ -64,10 +68,7 @@
 
 def _full_of_arrays() -> Story:
     """Every machine is full, and a hundred jobs wait that all ask for something else."""
-    story = Story(machines=0, limits={"red": Limits()})
-    for number in range(MACHINES):
-        story.add(f"m-{number:03d}", zone="abc"[number % 3])
-        story.beat(f"m-{number:03d}")
+    story = _fleet()
     for number in range(100):
         job = a_job(number, tasks=100, cpus=1.0 + number / 1000, memory_gb=0.1)
         story.block.add_job(job, 200, story.now)
@@ -118,7 +119,7 @@
         if step % 15 == 14:
             story.now += TIMING.lapse_us
             story.block.tick(story.now)
-        plan(story.block, story.now)
+        planning.plan(story.block, story.now)
         for one in story.block.machines.values():
             staying = [a for a in one.attempts.values() if a.grace is None]
             assert one.free.cpus == pytest.approx(4.0 - sum(a.work.job.cpus for a in staying))
