--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -47,7 +47,7 @@
             if now - machine.asked_at > self.timing.lease_us:
                 return None
             if machine.lost:
-                return []  # only what shows our baton proves that it is back
+                return self.unwanted(report)  # only what shows our baton proves that it is back
         if report.session > machine.session:
             self._new_session(machine, report.session, now)
         machine.beat_tick = report.tick
@@ -72,7 +72,19 @@
             machine.tick = max(machine.tick, report.tick)
         self._drain(machine, now)
         machine.answered_at = now
-        return self.orders(machine, now)
+        return self.orders(machine, now) if machine.synced else self.unwanted(report)
+
+    def unwanted(self, report: Message) -> list[Wish]:
+        """Halts for tasks of jobs that are over, on a machine of which we have no picture so far.
+        The answer renews its lease, and it may be the last one that it gets: an order that
+        waited for the next would come too late for a cancellation from long before us."""
+        out: list[Wish] = []
+        for seen in report.tasks:
+            ref, _, number = seen.task.rpartition("/")
+            work = self.works.get(ref)
+            if seen.stage != "ended" and (work is None or work.closed):
+                out.append(Wish("halt", ref, int(number), seen.token, 0.0))
+        return out[:MAX_ORDERS]
 
     def answer(self, report: Message, now: int, flown: Iterable[Attempt] = ()) -> None:
         """The answer to direct orders. `flown` are the starts that it proves to be executed."""
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -13,7 +13,7 @@
 from basaltlead.clients.base import Backoff, encode
 from basaltlead.clients.state import TROUBLE, State
 from basaltlead.clock import age_us, now_us
-from basaltlead.core.block import Block
+from basaltlead.core.block import Block, Wish
 from basaltlead.core.leadership import Grant, block_key
 from basaltlead.core.market import Market, TeamRecord
 from basaltlead.core.model import US, Job, Kind, Machine
@@ -78,7 +78,10 @@
         self.block.log = lambda text: log.info("%s", text)
         self.loaded = False
         self.resigned = False  # we have stopped acting, for good
-        self.watched_at = now_us()  # when the last good look at the open jobs was asked for
+        # When the last good look at the open jobs was asked for. None before the first: what is
+        # cancelled since our predecessor's last look runs on at its workers, for nobody knows
+        # how long already, so until we have looked ourselves we may renew no lease.
+        self.looked_at: int | None = None
         self.hires: dict[str, StoredHire] = {}
         self.shared = settings.operator.blocks > 1  # is the work leased in parts?
         self.early: dict[str, int] = {}  # answers given before the block was loaded
@@ -101,7 +104,8 @@
             self.member.acts
             and not self.resigned
             and self.member.life == self.grant.life
-            and now_us() < self.watched_at + self.settings.ride_us
+            and self.looked_at is not None
+            and now_us() < self.looked_at + self.settings.ride_us
         )
 
     def guards(self) -> list[Guard]:
@@ -161,6 +165,9 @@
         block = self.block
         asked = now_us()
         rows, revision = await self.state.rows(OPEN)
+        for row in rows:
+            self._take_open(row.key, row.value, row.stamp, now_us())
+        self.looked_at = asked
         machines, _ = await self.state.rows(MACHINE)
         hires, _ = await self.state.rows(HIRE)
         teams, _ = await self.state.rows(TEAM)
@@ -168,8 +175,6 @@
         if self.shared:
             leases, self.sharing.since = await self.state.rows(LEASE)
         now = now_us()
-        for row in rows:
-            self._take_open(row.key, row.value, row.stamp, now)
         for row in machines:
             stored = msgspec.json.decode(row.value, type=StoredMachine)
             if stored.block != self.number:
@@ -189,7 +194,6 @@
             team, _, number = row.key[len(TEAM) :].rpartition("/")
             if number == str(self.number):
                 self.market.load(team, msgspec.json.decode(row.value, type=TeamRecord))
-        self.watched_at = asked
         log.info(
             "block %d loaded: %d jobs, %d machines, %d hires", self.number,
             len(block.works), len(block.machines), len(self.hires),
@@ -225,7 +229,7 @@
         )  # fmt: skip
 
     def _seen(self, asked: int, news: bool) -> None:
-        self.watched_at = asked
+        self.looked_at = asked
 
     def _change(self, change: Change) -> None:
         if change.put is not None:
@@ -259,7 +263,7 @@
             return None
         if not self.loaded:
             self.early[report.machine] = now
-            return Response(200, encode(Orders(self.grant.baton, [])))
+            return self._renew(self.block.unwanted(report))
         live = report.baton == self.grant.baton
         machine = self.block.machines.get(report.machine)
         if machine is None:
@@ -269,7 +273,7 @@
                 # Nobody told us of it: a hire that was executed late, or a copy from a machine
                 # that an earlier owner returned. It may hold no task, since it is not recorded,
                 # and we believe that it exists once it shows our baton.
-                return Response(200, encode(Orders(self.grant.baton, [])))
+                return self._renew(self.block.unwanted(report))
             machine = self._meet(report, now)
         elif not machine.recorded and machine.address == "":
             machine.address = report.address
@@ -285,6 +289,10 @@
                 self.reach.probe(machine)
         if self.block.dirty:
             self.wake.set()
+        return self._renew(wishes)
+
+    def _renew(self, wishes: list[Wish]) -> Response:
+        """The answer that renews a worker's lease, with its orders."""
         return Response(200, encode(Orders(self.grant.baton, [order_of(w) for w in wishes])))
 
     def _meet(self, report: Report, now: int) -> Machine:
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -115,9 +115,17 @@
     def ride_us(self) -> int:
         """How long an owner may act without a look at the cancellations.
 
-        A cancellation may be told just after the owner lost its way to the state service; the
-        owner then acts for this long at most, and its workers for a lease after that. Both and
-        a margin must fit into `cancel_s`.
+        Let L be the time at which its last good look was asked for. What was committed before L
+        is in that look, so a cancellation it does not know of was told to its user after L.
+        A report is answered with 200 only while the clock reads less than L + ride (`acts` is
+        asked in the turn in which the answer is written, so a process that stood still before
+        that turn answers nothing; one that stands still after it has answered a report that was
+        sent before). The worker's lease counts from when that report was *sent*, so it is over
+        at L + ride + lease at the latest, however long the answer was under way. Direct commands
+        renew nothing, and one that is executed late starts nothing that outlives the lease.
+        Clocks drift by 0.05% and a worker looks at its lease now and then: a hundredth of the
+        lease, a tenth of the rest and a second are left for that. So the task is gone within
+        `cancel_s` of L, and the user was told later than that.
         """
         w = self.facts.workers
         return int(((w.cancel_s - w.lease_s * 1.01) * 0.9 - 1.0) * US)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs
 
 from basaltlead.net.http import Pool, Request, Response, Server
-from tests.world import Loop, on_host
+from tests.world import PEER, Loop, on_host
 
 
 def reply(status: int, value: Any) -> Response:
@@ -28,7 +28,9 @@
         self.holds: dict[int, tuple[float, float]] = {}
         self.next_hold = 0
         self.down = False
-        self.refused: set[str] = set()
+        self.refused: set[str] = set()  # hosts that alone get 503, as in an outage
+        self.late_writes = 0.0  # that share is not answered, and carried out 2 to 12 s later
+        self.late_keys = ""  # of which only those that put or drop something under this prefix
         self.event = asyncio.Event()
         self.writes = 0
         self.slowness = 1.0  # how many times as long as usual its answers take
@@ -62,6 +64,15 @@
         self.event.set()
         self.event = asyncio.Event()
 
+    def away(self, host: str) -> bool:
+        """Is there an outage, for all or for this one alone?"""
+        return self.down or host in self.refused
+
+    def _is_late(self, body: dict[str, Any]) -> bool:
+        keys = [change.get("Put", change.get("Drop")) for change in body.get("Apply", [])]
+        named = any(key.startswith(self.late_keys) for key in keys)
+        return named and self.chance.random() < self.late_writes
+
     def outage_over(self) -> None:
         self.down = False
         now = self.loop.time()
@@ -73,8 +84,8 @@
         query = {k: v[0] for k, v in parse_qs(request.query).items()}
         path = request.path
         if path == "/changes":
-            return await self._changes(query)
-        if self.down:
+            return await self._changes(query, PEER.get())
+        if self.away(PEER.get()):
             return reply(503, {"error": "trouble"})
         body = json.loads(request.body) if request.body else {}
         if path == "/kv":
@@ -85,6 +96,10 @@
                 return reply(404, {"Ledger": self.ledger})
             return reply(200, {"Path": path[4:], "V": found[0], "Stamp": found[1]})
         if path == "/multi":
+            if self._is_late(body):
+                await asyncio.sleep(self.chance.uniform(2.0, 12.0))
+                self._multi(body)
+                await asyncio.sleep(60)  # nobody waits for an answer any more
             return self._multi(body)
         if path == "/holds":
             self.next_hold += 1
@@ -130,11 +145,13 @@
         self._tell()
         return reply(200, {"Ledger": self.ledger})
 
-    async def _changes(self, query: dict[str, str]) -> Response:
+    async def _changes(self, query: dict[str, str], host: str) -> Response:
         end = self.loop.time() + int(query.get("HoldMs", "0")) / 1000
         since = int(query["Since"])
+        if self.away(host):
+            return reply(503, {"error": "trouble"})
         while True:
-            if not self.down:
+            if not self.away(host):
                 log = [
                     change for change in self.log
                     if change["Stamp"] > since
@@ -246,6 +263,7 @@
         self.up = False
         self.hung = False
         self.deaf = False  # its reports arrive, but answers and commands don't reach it
+        self.mute = False  # it reaches no controller, while direct commands reach it
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.change = asyncio.Event()
         self.lease_from = self.born
@@ -293,6 +311,11 @@
             _, address = nodes[at % len(nodes)]
             pool = pools.setdefault(address, Pool(address, 2))
             sent, session = self.loop.time(), self.session
+            if self.mute:
+                pool.close()
+                at += 1
+                await asyncio.sleep(1)
+                continue
             body = json.dumps(self.report()).encode()
             if self.world.chance.random() < self.world.copies:
                 on_host(self.host, self._copy(body))
@@ -323,7 +346,7 @@
 
     async def _copy(self, body: bytes) -> None:
         """A copy of a report comes late, at any node, whatever has become of the machine."""
-        await asyncio.sleep(self.world.chance.uniform(0.5, 2.5 * self.LEASE))
+        await asyncio.sleep(self.world.chance.uniform(0.5, 2.5 * self.world.lease))
         _, address = self.world.chance.choice(self.world.fronts())
         pool = Pool(address, 1)
         try:
@@ -410,7 +433,7 @@
         while True:
             await asyncio.sleep(0.1)
             now = self.loop.time()
-            if now - self.lease_from > self.LEASE:
+            if now - self.lease_from > self.world.lease:
                 self._kill_all()
                 self.session += 1
                 self.tick = 0
@@ -500,7 +523,7 @@
 
     def _late(self, task: str) -> None:
         ref = task.partition("/")[0]
-        if self.world.loop.time() > self.cancelled_at[ref] + self.world.CANCEL:
+        if self.world.loop.time() > self.cancelled_at[ref] + self.world.cancel_s:
             self.say(f"ran_cancelled {task}")
 
     def left(self, task: str, worker: FakeWorker) -> None:
@@ -548,10 +571,13 @@
 
     def __init__(
         self, loop: Loop, seed: int = 1, nodes: int = 3, limits: dict[str, float] | None = None,
-        operator: dict[str, Any] | None = None,
+        operator: dict[str, Any] | None = None, lease: float = FakeWorker.LEASE,
+        cancel: float = CANCEL,
     ) -> None:  # fmt: skip
         self.loop = loop
         self.net = loop.net
+        self.lease = lease
+        self.cancel_s = cancel
         self.chance = random.Random(seed)
         self.limits = limits or {}
         self.nodes = [f"node-{i}" for i in range(nodes)]
@@ -599,8 +625,8 @@
                         for team in ("red", "blue")
                     ],
                     "workers": {
-                        "report_s": FakeWorker.REPORT, "lease_s": FakeWorker.LEASE,
-                        "gang_wait_s": 20.0, "gang_peer_s": 4.0, "cancel_s": self.CANCEL,
+                        "report_s": FakeWorker.REPORT, "lease_s": self.lease,
+                        "gang_wait_s": 20.0, "gang_peer_s": 4.0, "cancel_s": self.cancel_s,
                     },
                     "state": {
                         "rps": 500.0, "write_rps": self.write_rps, "value_kb": 8.0, "txn_ops": 8,
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -280,6 +280,20 @@
     assert "req-000001" not in story.block.works
 
 
+def test_a_machine_that_does_not_know_the_new_owner_yet_is_told_at_once_what_is_over() -> None:
+    """Its answer renews the lease, and may be the last that arrives."""
+    story = Story()
+    story.add("m-9", loaded=True)
+    story.submit(number=2, stamp=50)
+    tasks = [
+        Listed("req-000001/0", 5, "running"), Listed("req-000001/1", 6, "ended", "done"),
+        Listed("req-000002/0", 7, "running"),
+    ]  # fmt: skip
+    assert story.beat("m-9", *tasks, baton=6) == [("halt", "req-000001/0")]
+    story.block.close_job("req-000002", story.now)
+    assert ("halt", "req-000002/0") in (story.beat("m-9", *tasks, baton=6) or [])
+
+
 def test_a_broken_gang_is_started_anew_only_when_all_of_it_is_gone() -> None:
     story = Story(machines=2)
     work = story.submit(gang=True, tasks=2, cpus=3.0)
@@ -425,7 +439,11 @@
     story.beat("m-0")
     story.block.tick(story.now)
     assert lost.lost
+    story.submit()
     assert story.beat("m-9", Listed("req-000001/0", 5, "running"), baton=6, session=3) == []
+    # One of a job that is over must go, whoever listens; that proves no more than the other.
+    over = Listed("req-000009/0", 5, "running")
+    assert story.beat("m-9", over, baton=6, session=3) == [("halt", "req-000009/0")]
     assert lost.lost and not lost.up and not lost.attempts and not lost.heard_at
     story.beat("m-9", session=4, tick=1)  # it shows our baton: it lives
     assert not lost.lost and lost.synced
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,7 @@
 from basaltlead import clock
 
 HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="10.9.9.9")
+PEER: contextvars.ContextVar[str] = contextvars.ContextVar("peer", default="")  # who is heard
 
 
 class _Selector(selectors.BaseSelector):
@@ -119,6 +120,7 @@
         """What arrives is the receiver's to deal with: on its host, and when it is awake."""
         context = contextvars.copy_context()
         context.run(HOST.set, end.there)
+        context.run(PEER.set, end.here)
         self.loop.call_soon(self._take, end, data, context=context)
 
     @staticmethod
@@ -254,4 +256,4 @@
     return asyncio.get_running_loop().create_task(work, context=context)
 
 
-__all__ = ["HOST", "Loop", "Network", "on_host", "play"]
+__all__ = ["HOST", "PEER", "Loop", "Network", "on_host", "play"]
