--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -10,6 +10,7 @@
 from basaltlead.clients.base import Unavailable, encode
 from basaltlead.clients.state import Conflict, NoHold, State
 from basaltlead.clock import now_us, wall_us
+from basaltlead.core.cancellations import Cancellations
 from basaltlead.core.model import Kind
 from basaltlead.core.picture import Limits
 from basaltlead.logs import Brake, log
@@ -56,6 +57,7 @@
         teams: dict[str, Limits],
         txn_ops: int,
         blocks: int,
+        cancellations: Cancellations,
     ) -> None:
         self.state = state
         self.member = member
@@ -65,7 +67,8 @@
         self.kinds: dict[str, Kind] = {}
         self.limiter = Limiter()
         self.finals: dict[str, Final] = {}  # final answers, the only ones that may be cached
-        self.closed: Callable[[str], None] = lambda ref: None
+        self.cancellations = cancellations
+        self.cancelled: Callable[[str], None] = lambda ref: None
         self.brake = Brake()
 
     async def handle(self, request: Request) -> Response:
@@ -169,7 +172,10 @@
         return final
 
     def remember(self, ref: str, final: Final) -> None:
+        """To be called before anybody is told: owners must know of every cancellation that is."""
         self.finals[ref] = final
+        if final.stage == "withdrawn" and self.cancellations.add(ref, now_us()):
+            self.cancelled(ref)
         while len(self.finals) > FINALS_KEPT:
             del self.finals[next(iter(self.finals))]
 
@@ -183,6 +189,9 @@
             parts = [msgspec.json.decode(row.value, type=Progress) for row in rows[1:]]
             done = sum(part.count for part in parts)
             running = sum(part.running for part in parts)
+            if ref in self.cancellations:
+                # Somebody has told of its end since we asked: nobody may hear the older state.
+                return told(200, ref, "withdrawn", done)
             return told(200, ref, "running" if done or running else "pending", done, running)
         final = await self._final(ref)
         return None if final is None else told(200, ref, final.stage, final.done)
@@ -224,6 +233,5 @@
                 continue
             log.info("job %s cancelled", ref)
             self.remember(ref, final)
-            self.closed(ref)
         final = self.finals.get(ref)
         return told(200, ref, final.stage, final.done) if final else refusal(503, "busy", LATER)
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -12,6 +12,7 @@
 from basaltlead.clients.cloud import Cloud, NoCapacity
 from basaltlead.clients.state import TROUBLE, State
 from basaltlead.clock import now_us
+from basaltlead.core.cancellations import Cancellations
 from basaltlead.core.fleet import Shop
 from basaltlead.core.leadership import Grant
 from basaltlead.core.market import Market, Promises, Terms
@@ -52,13 +53,18 @@
             settings.member, self.state, settings.right_us, settings.operator.blocks
         )
         self.member.changed = self._changed
-        self.peers = Peers(self.member, settings.internal_addr, settings.known)
+        self.cancellations = Cancellations(now_us())
+        self.peers = Peers(self.member, settings.internal_addr, settings.known, self.cancellations)
+        self.peers.looked_at = self._looked_at
+        self.peers.over = self._over
+        self.peers.covered = self._covered
         blocks = settings.operator.blocks
         self.leasing = Leasing(self.member, self.state, limits_of(settings), blocks)
         self.desk = FrontDesk(
-            self.state, self.member, limits_of(settings), facts.state.txn_ops, blocks
-        )
-        self.desk.closed = self._closed
+            self.state, self.member, limits_of(settings), facts.state.txn_ops, blocks,
+            self.cancellations,
+        )  # fmt: skip
+        self.desk.cancelled = self._cancelled
         self.kinds: dict[str, Kind] = self.desk.kinds
         self.owners: dict[int, Owner] = {}
         self.kept_types: set[str] = set()
@@ -130,6 +136,7 @@
         )
         owner.foreign = lambda name: self.leasing.block_of(name) not in (None, number)
         owner.sockets_left = self._sockets_left
+        owner.is_over = self.cancellations.__contains__
         renting = Renting(self.settings, self.cloud, owner, market, self.shop)
         owner.on_loaded = renting.start
         self.owners[number] = owner
@@ -150,10 +157,22 @@
         left = self.server.limit - len(self.server.connections)
         return max(LEAST_SOCKETS, left // max(1, len(self.owners)))
 
-    def _closed(self, ref: str) -> None:
+    def _cancelled(self, ref: str) -> None:
+        """Our own front desk is about to tell a user so."""
+        self._over(ref)
+        self.peers.tell(ref)
+
+    def _over(self, ref: str) -> None:
+        for owner in self.owners.values():
+            owner.close(ref)
+
+    def _looked_at(self) -> int | None:
+        looks = [owner.looked_at for owner in self.owners.values() if owner.loaded]
+        return min((look for look in looks if look is not None), default=None)
+
+    def _covered(self, since: int, until: int) -> None:
         for owner in self.owners.values():
-            if owner.loaded:
-                owner.close(ref)
+            owner.covered(since, until)
 
     async def _mind(self) -> None:
         """Notice when others would serve our machines better than we do, or have nothing to do."""
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -92,6 +92,7 @@
         self.results = Results(self)
         self.sharing = Sharing(self)
         self.on_loaded: Callable[[], None] = lambda: None
+        self.is_over: Callable[[str], bool] = lambda ref: False  # is it known to be cancelled?
         self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
         self.sockets_left: Callable[[], int] = lambda: 1_000_000  # for direct orders
 
@@ -204,8 +205,8 @@
         ref, part = split_open(key)
         if part is None:
             stored = msgspec.json.decode(raw, type=StoredJob)
-            if ref in self.block.works:
-                return
+            if ref in self.block.works or self.is_over(ref):
+                return  # its end has been told, and the watch will show that too
             age = age_us(stored.at)
             work = self.block.add_job(job_of(stored.job), stamp, now, age)
             if self.shared:
@@ -229,7 +230,13 @@
         )  # fmt: skip
 
     def _seen(self, asked: int, news: bool) -> None:
-        self.looked_at = asked
+        self.looked_at = max(self.looked_at or asked, asked)
+
+    def covered(self, since: int, until: int) -> None:
+        """Every controller's word of what it confirmed in that time is as good as a look at its
+        end, if our own last look reaches to its beginning."""
+        if self.loaded and self.looked_at is not None and since <= self.looked_at:
+            self.looked_at = max(self.looked_at, until)
 
     def _change(self, change: Change) -> None:
         if change.put is not None:
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -6,23 +6,34 @@
 clock, and only prolongs a right that has not ended yet: once it has, another may own the block.
 A controller that has just started, and may have forgotten a promise, waits out the
 longest possible one before it replaces an owner whose hold ran out (see Membership).
+
+An owner must know the cancellations that users were told of. While it can't look at the state
+service, each answer brings all that the peer has confirmed to anybody since the owner's last look.
+The word of *every* other controller, none of which was silent or has restarted since, is as good
+as a look at the time the question was sent: what one of them confirms later, it confirms after
+that time, and what nobody has confirmed binds nobody.
 """
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
 from basaltlead.clients.base import encode
 from basaltlead.clock import now_us
+from basaltlead.core.cancellations import Cancellations
 from basaltlead.logs import Brake, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import listen
 from basaltlead.net.netstring import FrameProtocol
 from basaltlead.settings import Peer
-from basaltlead.wire.peers import Ask, Message, Promise
+from basaltlead.wire.peers import Ask, Cancelled, Message, Promise
 
 decoder = msgspec.json.Decoder(Message)
 MAX_LINKS = 16
+# A question and its answer may be under way for this long together: the peer counts back from
+# when it reads the question, so it must look further back by that.
+PROMPT_US = 2_000_000
 
 
 class Link:
@@ -32,11 +43,14 @@
         self.hub = hub
         self.peer = peer
         self.protocol: FrameProtocol | None = None
-        self.asked: dict[int, int] = {}  # when each question was sent
+        # When each question was sent, and from when on it asked for cancellations.
+        self.asked: dict[int, tuple[int, int | None]] = {}
         self.promised_until = 0
         self.promised_life = ""  # a promise to an earlier life of ours is worth nothing
         self.heard_at = 0  # the last answer, and what it said of the state service
         self.lonely = False
+        # From when until when the peer has told us every cancellation that it confirmed.
+        self.covers: tuple[int, int] | None = None
         self.connecting = False
 
     async def ask(self, span_us: int) -> None:
@@ -46,11 +60,15 @@
             return
         self.hub.seq += 1
         member = self.hub.member
-        self.asked[self.hub.seq] = now_us()
+        now, looked_at = now_us(), self.hub.looked_at()
+        self.asked[self.hub.seq] = (now, looked_at)
         while len(self.asked) > 20:
             del self.asked[next(iter(self.asked))]
-        question = Ask(self.hub.seq, member.name, member.life, span_us)
-        if not self.protocol.send(encode(question)):
+        blind_us = None if looked_at is None else max(0, now - looked_at)
+        self.send(Ask(self.hub.seq, member.name, member.life, span_us, blind_us))
+
+    def send(self, message: Message) -> None:
+        if self.protocol is not None and not self.protocol.send(encode(message)):
             self.protocol.close()
 
     async def _connect(self) -> None:
@@ -80,7 +98,12 @@
         self.heard_at, self.lonely = now_us(), message.lonely
         if message.life != self.hub.member.life or not self.hub.member.stamp:
             return
-        sent = self.asked.pop(message.seq, None)
+        sent, looked_at = self.asked.pop(message.seq, (None, None))
+        if message.cancelled is not None and sent is not None and looked_at is not None:
+            self.hub.cancelled(message.cancelled)
+            if now_us() - sent <= PROMPT_US:
+                self.covers = (looked_at, sent)
+                self.hub.attest()
         if now_us() >= self.hub.member.right_until:
             return  # promises prolong a right; they can't bring back one that somebody may have
         if sent is not None and message.span_us > 0:
@@ -92,14 +115,21 @@
 
 
 class Peers:
-    def __init__(self, member: Membership, address: str, known: list[Peer]) -> None:
+    def __init__(
+        self, member: Membership, address: str, known: list[Peer], cancellations: Cancellations
+    ) -> None:
         self.member = member
+        self.cancellations = cancellations
         self.address = address
         self.links = [Link(self, peer) for peer in known]
         self.names = {peer.member for peer in known}
         self.seq = 0
         self.open: set[FrameProtocol] = set()
         self.brake = Brake()
+        # Since when our owners can't have seen all cancellations; None without an owner.
+        self.looked_at: Callable[[], int | None] = lambda: None
+        self.over: Callable[[str], None] = lambda ref: None  # a job is cancelled
+        self.covered: Callable[[int, int], None] = lambda since, until: None
 
     def read(self, body: bytes) -> Message | None:
         try:
@@ -123,9 +153,38 @@
         message = self.read(body)
         if isinstance(message, Ask) and message.name in self.names:
             span = self.member.promise(message.name, message.life, message.span_us)
-            lonely = self.member.lonely
-            answer = Promise(message.seq, self.member.name, message.life, span, lonely)
+            answer = Promise(
+                message.seq, self.member.name, message.life, span, self.member.lonely,
+                self._confirmed(message.blind_us),
+            )  # fmt: skip
             protocol.send(encode(answer))
+        elif isinstance(message, Cancelled):
+            self.cancelled(message.refs)
+
+    def _confirmed(self, blind_us: int | None) -> list[str] | None:
+        """All cancellations that we have confirmed since the asker's last look, which was so
+        long ago by its clock, on whose question, and on ours, drift has its part."""
+        if blind_us is None:
+            return None
+        return self.cancellations.since(now_us() - blind_us - blind_us // 500 - PROMPT_US)
+
+    def cancelled(self, refs: list[str]) -> None:
+        for ref in refs:
+            if self.cancellations.add(ref, now_us()):
+                self.over(ref)
+
+    def tell(self, ref: str) -> None:
+        """A user is about to be told that a job is cancelled. An owner that does not see the
+        state service hears it from us, if it can, before it starts another task of the job."""
+        for link in self.links:
+            link.send(Cancelled([ref]))
+
+    def attest(self) -> None:
+        """What all peers together have covered is as good as a look of our owners' own."""
+        covers = [link.covers for link in self.links]
+        if covers and None not in covers:
+            known = [one for one in covers if one is not None]
+            self.covered(max(low for low, _ in known), min(high for _, high in known))
 
     def nobody_better(self) -> bool:
         """Do others say that they have lost the state service too, and nobody that it has not?"""
--- a/basaltlead/wire/peers.py
+++ b/basaltlead/wire/peers.py
@@ -10,6 +10,8 @@
     name: str
     life: str
     span_us: int
+    # How long ago it last knew of all confirmed cancellations; None if it doesn't ask for them.
+    blind_us: int | None = None
 
 
 class Promise(Struct, tag="promise", tag_field="is"):
@@ -20,6 +22,14 @@
     life: str
     span_us: int
     lonely: bool = False  # has the answering controller lost the state service too?
+    # Every cancellation that it has confirmed to anybody since then; None if it can't say.
+    cancelled: list[str] | None = None
 
 
-Message = Ask | Promise
+class Cancelled(Struct, tag="cancelled", tag_field="is"):
+    """Jobs of which the sender is about to tell a user that they are cancelled."""
+
+    refs: list[str]
+
+
+Message = Ask | Promise | Cancelled
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -487,6 +487,7 @@
         self.told: dict[str, str] = {}
         self.cancelled_at: dict[str, float] = {}
         self.starts = 0
+        self.started: list[str] = []
         self.broken: list[str] = []
 
     def say(self, text: str) -> None:
@@ -494,6 +495,7 @@
 
     def entered(self, task: str, worker: FakeWorker, token: int) -> None:
         self.starts += 1
+        self.started.append(task)
         ref = task.partition("/")[0]
         job = self.world.jobs[ref]
         if task in self.on:
@@ -530,6 +532,9 @@
         if self.on.get(task) is worker:
             del self.on[task]
 
+    def starts_of(self, ref: str) -> int:
+        return sum(task.partition("/")[0] == ref for task in self.started)
+
     def completed(self, task: str) -> None:
         self.results.add(task)
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -133,3 +133,29 @@
         world.verdict()
 
     play(story)
+
+
+def test_an_owner_that_alone_is_refused_starts_nothing_of_a_job_that_is_cancelled() -> None:
+    """Others tell it directly; its right lasts for a while yet, and more tasks than room wait."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop, lease=LEASE, cancel=CANCEL)
+        world.cloud.capacity = 2
+        await world.start()
+        await world.submit(world.job(1, Pieces=100, RunS=0.5))
+        await world.until(lambda: world.referee.starts > 20)
+        owner = world.owner()
+        assert owner is not None
+        await world.submit(world.job(2, Pieces=100, RunS=0.5))
+        world.state.refused.add(world.host(owner))
+        await asyncio.sleep(0.1)
+        assert await world.cancel("req-000001", _others(world, owner)[0]) == "withdrawn"
+        await _watch(world, 1)  # what was sent before may still start
+        starts = world.referee.starts_of("req-000001")
+        assert world.owner() == owner
+        await _watch(world, 10)
+        assert world.referee.starts_of("req-000001") == starts
+        assert world.referee.starts_of("req-000002") > 0
+        world.verdict()
+
+    play(story)
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from basaltlead.core.cancellations import Cancellations
 from basaltlead.core.leadership import Claim, Grant, right_end
 from basaltlead.wire.peers import Ask
 from tests.fakes import World
@@ -32,17 +35,66 @@
     play(story)
 
 
-def test_promises_end_when_a_cancellation_could_no_longer_be_kept() -> None:
+@pytest.mark.parametrize("what", ["restarted", "stands still", "cut off", "slow"])
+def test_an_owner_stops_when_a_cancellation_could_no_longer_be_kept(what: str) -> None:
+    """One of the others can't give its word that it confirmed no more than it says."""
+
     async def story(loop: Loop) -> None:
         world = World(loop)
         owner = await world.busy(2, 300.0)
+        other = next(name for name in world.nodes if name != owner)
         world.state.down = True
-        await asyncio.sleep(world.parts[owner].settings.ride_us / 1e6 + 0.5)
+        ride = world.parts[owner].settings.ride_us / 1e6
+        if what == "restarted":
+            world.crash(other)
+            await asyncio.sleep(0.3)
+            world.boot(other)
+            await asyncio.sleep(ride - 1.5)
+            assert world.owner() == owner  # it may promise all the same
+        else:
+            if what == "stands still":
+                world.freeze(other)
+            elif what == "slow":  # its word is older than it seems
+                world.net.slow[world.host(other)] = 2.5
+            else:
+                world.net.cut(world.host(owner), world.host(other))
+            await asyncio.sleep(ride - 1.5)
+        await asyncio.sleep(2.5)
         assert world.owner() is None
+        world.thaw(other)
 
     play(story)
 
 
+def test_the_word_of_all_others_carries_an_owner_over_a_long_outage() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(6, 60.0)
+        starts = world.referee.starts
+        world.state.down = True
+        for _ in range(int(world.cancel_s * 2 * 10)):
+            await asyncio.sleep(0.1)
+            assert world.owner() == owner
+        world.state.outage_over()
+        await world.until_done("req-000001")
+        assert world.referee.starts == starts
+        world.verdict()
+
+    play(story)
+
+
+def test_a_word_reaches_back_only_as_far_as_nothing_was_forgotten() -> None:
+    known = Cancellations(100, most=2)
+    assert known.since(99) is None  # an earlier incarnation may have confirmed some
+    assert known.since(100) == []
+    assert known.add("a", 200) and not known.add("a", 300)
+    assert known.add("b", 210)
+    assert known.since(150) == ["b", "a"] and known.since(205) == ["b"]
+    assert known.add("c", 220)
+    assert known.since(200) is None and known.since(201) == ["c", "b"]
+    assert "b" in known and "a" not in known
+
+
 def test_whoever_sees_the_state_service_promises_nothing() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
