--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -54,8 +54,7 @@
         self.connecting = False
 
     async def ask(self, span_us: int) -> None:
-        if self.protocol is None:
-            await self._connect()
+        await self.connect()
         if self.protocol is None:
             return
         self.hub.seq += 1
@@ -71,8 +70,8 @@
         if self.protocol is not None and not self.protocol.send(encode(message)):
             self.protocol.close()
 
-    async def _connect(self) -> None:
-        if self.connecting:
+    async def connect(self) -> None:
+        if self.connecting or self.protocol is not None:
             return
         self.connecting = True
         host, port = self.peer.address.rsplit(":", 1)
@@ -205,7 +204,9 @@
         The load balancer takes its time to trust one again that has called itself unhealthy."""
         while True:
             await asyncio.sleep(self.member.ttl_us / 10e6)
-            if not self.member.lonely:
+            if not self.member.lonely:  # be ready to tell of cancellations
+                links = [link.connect() for link in self.links]
+                await asyncio.gather(*links, return_exceptions=True)
                 continue
             asking = [link.ask(self.member.ttl_us) for link in self.links]
             await asyncio.gather(*asking, return_exceptions=True)
