--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -163,15 +163,17 @@
         world = World(loop, lease=LEASE, cancel=CANCEL)
         world.cloud.capacity = 2
         await world.start()
-        await world.submit(world.job(1, Pieces=1000, RunS=0.5))
+        await world.submit(world.job(1, Pieces=1000, RunS=500.0))
         await world.until(lambda: world.referee.starts > 20)
+        await asyncio.sleep(2)
         owner = world.owner()
         assert owner is not None
         await world.submit(world.job(2, Pieces=100, RunS=0.5))
         world.state.refused.add(world.host(owner))
         await asyncio.sleep(0.1)
         assert await world.cancel("req-000001", _others(world, owner)[0]) == "withdrawn"
-        await _watch(world, 0.7)  # what was sent before may still start
+        await _watch(world, 0.5)  # sooner than the owner asks anybody
+        assert world.on("req-000001") == []
         starts = world.referee.starts_of("req-000001")
         assert world.owner() == owner
         await _watch(world, 10)
