--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -9,6 +9,9 @@
 
 SLOW_TIMES = 6  # a machine is slow if a task takes that many times what others took
 MOST_GIVEN_UP = 4  # tasks of one job that are taken off slow machines
+# For how long a job keeps off a machine that was slow for it. It may be the only one that fits,
+# and no job is to wait for 90 s beside room for it.
+AVOID_US = 60 * US
 MAX_ORDERS = 250  # in one message: keeps a line far below 64 KiB
 
 
@@ -233,7 +236,7 @@
             machine = attempt.machine
             if now - attempt.ran_at > limit and not machine.deaf_since and not machine.lost:
                 work.given_up += 1
-                work.failed_on[machine.name] = now + 300 * US
+                work.failed_on[machine.name] = now + AVOID_US
                 machine.slow.add(work.job.ref)
                 self.log(f"machine {machine.name} is slow: {work.job.ref}/{attempt.index} given up")
                 if len(machine.slow) >= 2:
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -66,7 +66,12 @@
     def __init__(self, block: Block, now: int) -> None:
         self.block = block
         self.now = now
-        self.usable = [m for m in block.machines.values() if m.usable(now)]
+        # One that has been silent for half a lease would probably take a new task along with
+        # the others: direct orders may reach it, but they don't renew its lease.
+        since = now - block.timing.lease_us // 2
+        self.usable = [
+            m for m in block.machines.values() if m.usable(now) and m.answered_at >= since
+        ]
         self.zones = {machine.zone for machine in self.usable}
         self.lots: Lots = {}  # machines that are alike
         self.roomy: Lots = {}  # those of them on which anything that waits may fit
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/frontdesk.py
@@ -138,13 +138,17 @@
         if team is None:
             return "unknown team"
         job = job_of(sent)
-        if not any(
-            kind.holds(job)
-            and (job.types is None or kind.name in job.types)
-            and (job.zone is None or job.zone in kind.zones)
+        zones = {
+            zone
             for kind in self.kinds.values()
-        ):
+            if kind.holds(job) and (job.types is None or kind.name in job.types)
+            for zone in kind.zones
+            if job.zone in (None, zone)
+        }
+        if not zones:
             return "a task fits no allowed machine type"
+        if job.gang and job.zone_cap * (1 if job.one_zone else len(zones)) < job.tasks:
+            return "a gang that may not be where it must be"
         count = job.tasks if job.gang else 1
         if (team.cpus_max and job.cpus * count > team.cpus_max + 1e-6) or (
             team.gpus_max and job.gpus * count > team.gpus_max + 1e-6
@@ -189,8 +193,11 @@
             parts = [msgspec.json.decode(row.value, type=Progress) for row in rows[1:]]
             done = sum(part.count for part in parts)
             running = sum(part.running for part in parts)
+            # Has somebody told of its end since we asked? Nobody should hear the older state.
+            final = self.finals.get(ref)
+            if final is not None:
+                return told(200, ref, final.stage, final.done)
             if ref in self.cancellations:
-                # Somebody has told of its end since we asked: nobody may hear the older state.
                 return told(200, ref, "withdrawn", done)
             return told(200, ref, "running" if done or running else "pending", done, running)
         final = await self._final(ref)
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -5,13 +5,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import msgspec
 
 from basaltlead.clients.base import Backoff, encode
-from basaltlead.clients.state import TROUBLE, State
+from basaltlead.clients.state import TROUBLE, Conflict, State
 from basaltlead.clock import age_us, now_us
 from basaltlead.core.block import Block, Wish
 from basaltlead.core.leadership import Grant, block_key
@@ -83,6 +83,7 @@
         # how long already, so until we have looked ourselves we may renew no lease.
         self.looked_at: int | None = None
         self.hires: dict[str, StoredHire] = {}
+        self.stamps: dict[str, int] = {}  # of rows that we write more than once
         self.shared = settings.operator.blocks > 1  # is the work leased in parts?
         self.early: dict[str, int] = {}  # answers given before the block was loaded
         self.tasks: set[asyncio.Task[None]] = set()
@@ -112,6 +113,23 @@
     def guards(self) -> list[Guard]:
         return [self.member.guard(), Guard(block_key(self.number), self.stamp)]
 
+    async def put(self, rows: dict[str, Any], guards: Iterable[Guard] = ()) -> None:
+        """Write rows of ours that are written again and again. Each is guarded on the last stamp
+        that we know of it: a write that went unanswered may be carried out after a newer one,
+        and would undo that. If it was carried out first, we learn its stamp and the next try
+        goes through."""
+        known = [Guard(key, self.stamps.get(key, 0)) for key in rows]
+        puts: list[Put | Drop] = [Put(key, value) for key, value in rows.items()]
+        try:
+            stamp = await self.state.multi([*self.guards(), *guards, *known], puts, can_wait=True)
+        except Conflict as conflict:
+            for key in conflict.failed:
+                if key in rows:
+                    row = await self.state.get(key)
+                    self.stamps[key] = row.stamp if row is not None else 0
+            raise
+        self.stamps |= dict.fromkeys(rows, stamp)
+
     # Life
 
     def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
@@ -190,10 +208,12 @@
             hire = msgspec.json.decode(row.value, type=StoredHire)
             if hire.block == self.number:
                 self.hires[row.key[len(HIRE) :]] = hire
+                self.stamps[row.key] = row.stamp
         self.sharing.load(leases)
         for row in teams:
             team, _, number = row.key[len(TEAM) :].rpartition("/")
             if number == str(self.number):
+                self.stamps[row.key] = row.stamp
                 self.market.load(team, msgspec.json.decode(row.value, type=TeamRecord))
         log.info(
             "block %d loaded: %d jobs, %d machines, %d hires", self.number,
@@ -218,6 +238,8 @@
             log.info("job %s (%s, %d tasks) taken up", ref, work.job.lane, work.job.tasks)
             self.wake.set()
         elif ref in self.block.works and (not self.loaded or part[0] != self.number):
+            if part[0] == self.number:
+                self.stamps[key] = stamp
             progress = msgspec.json.decode(raw, type=Progress)
             load_progress(self.block.works[ref], part[1], progress, part[0] == self.number)
 
@@ -257,6 +279,8 @@
         if ref in self.block.works:
             self.block.close_job(ref, now_us())
             self.results.forget(ref)
+            for key in [key for key in self.stamps if key.startswith(f"{OPEN}{ref}/")]:
+                del self.stamps[key]
             self.wake.set()
 
     # Reports
@@ -336,13 +360,15 @@
             self._say_round()
             self.wake.set()
             if self.acts:
-                puts: list[Put | Drop] = [
-                    Put(f"{TEAM}{team}/{self.number}", self.market.record(team, self.block.works))
+                rows = {
+                    f"{TEAM}{team}/{self.number}": self.market.record(team, self.block.works)
                     for team in self.market.budgets
-                ]
+                }
+                keys = list(rows)
                 most = self.settings.facts.state.txn_ops
-                for low in range(0, len(puts), most):
-                    await self.results.store(self._store_teams(puts[low : low + most]))
+                for low in range(0, len(keys), most):
+                    some = {key: rows[key] for key in keys[low : low + most]}
+                    await self.results.store(self.put(some))
             await asyncio.sleep(self.market.terms.round_us / US)
 
     def _say_round(self) -> None:
@@ -356,9 +382,6 @@
             len(up), sum(1 for m in up if not m.wanted),
         )  # fmt: skip
 
-    async def _store_teams(self, puts: list[Put | Drop]) -> None:
-        await self.state.multi(self.guards(), puts, can_wait=True)
-
 
 def limits_of(settings: Settings) -> dict[str, Limits]:
     return {t.name: Limits(t.cpus, t.gpus, t.cpus_max, t.gpus_max) for t in settings.facts.teams}
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -16,7 +16,7 @@
 from basaltlead.records import HIRE, MACHINE, StoredHire
 from basaltlead.settings import Settings
 from basaltlead.wire.cloud import Hire, Rented
-from basaltlead.wire.state import Drop, Put
+from basaltlead.wire.state import Drop, Guard, Put
 
 MOST_HIRING = 6  # hires in progress
 SIZING_SHARE = 15  # sizing the fleet leaves that many times what it takes to everything else
@@ -272,7 +272,11 @@
         backoff = Backoff(200_000, 4_000_000, owner.member.chance)
         try:
             if fresh:
-                await owner.state.multi(owner.guards(), [Put(HIRE + name, stored)])
+                # Guarded on there being none: a name is never used again.
+                guards = [*owner.guards(), Guard(HIRE + name, 0)]
+                owner.stamps[HIRE + name] = await owner.state.multi(
+                    guards, [Put(HIRE + name, stored)]
+                )
             owner.hires[name] = stored
             while True:
                 if not owner.acts:
@@ -303,15 +307,22 @@
             self.pending.pop(name, None)
 
     async def _settle(self, name: str, stored: StoredHire | None) -> None:
-        """Write down how a hire ended."""
+        """Write down how a hire ended. Guarded on its record as it was written first: a try that
+        goes unanswered must not bring the record back once it has been dropped."""
+        owner = self.owner
         change = Drop(HIRE + name) if stored is None else Put(HIRE + name, stored)
         if stored is None:
-            self.owner.hires.pop(name, None)
-        backoff = Backoff(200_000, 4_000_000, self.owner.member.chance)
+            owner.hires.pop(name, None)
+        guard = Guard(HIRE + name, owner.stamps.pop(HIRE + name, 0))
+        backoff = Backoff(200_000, 4_000_000, owner.member.chance)
         for _ in range(8):
             try:
-                await self.owner.state.multi(self.owner.guards(), [change])
+                await owner.state.multi([*owner.guards(), guard], [change])
                 return
+            except Conflict as conflict:
+                if HIRE + name not in conflict.failed:
+                    raise
+                return  # an earlier try was carried out
             except (Failed, Unavailable):
                 await backoff.rest()
 
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -80,12 +80,10 @@
     async def _progress(self, work: Work) -> None:
         ref = work.job.ref
         parts = stretches(work) or {0: []}
-        guards = [*self.owner.guards(), Guard(OPEN + ref, work.stamp)]
         for number, indices in list(parts.items()):
+            key = progress_key(ref, self.owner.number, number)
             row = progress_of(work, number)
-            await self.owner.state.multi(
-                guards, [Put(progress_key(ref, self.owner.number, number), row)], can_wait=True
-            )
+            await self.owner.put({key: row}, [Guard(OPEN + ref, work.stamp)])
             self.owner.block.stored(work, indices)
 
     async def _finish(self, work: Work) -> None:
--- a/basaltlead/sharing.py
+++ b/basaltlead/sharing.py
@@ -146,5 +146,4 @@
         return self.owner.block.teams.get(team, Limits()).counted
 
     async def _store_load(self, load: Load) -> None:
-        puts = [Put(load_key(self.owner.number), load)]
-        await self.owner.state.multi(self.owner.guards(), puts, can_wait=True)
+        await self.owner.put({load_key(self.owner.number): load})
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.fakes import World
+from tests.fakes import FakeWorker, World
 from tests.world import Loop, play
 
 LEASE, CANCEL = 10.0, 30.0  # s; together with a right of a third of a lease they leave little over
@@ -182,3 +182,448 @@
         world.verdict()
 
     play(story)
+
+
+# The others
+
+
+async def _end(world: World, *refs: str, seconds: float = 200) -> None:
+    """All troubles are over: every job is answered soon, and those that were not cancelled run."""
+    for name in world.nodes:
+        world.thaw(name)
+        world.rejoin(name)
+        if name not in world.running:
+            world.boot(name)
+    for machine in world.cloud.machines.values():
+        machine.hung = machine.deaf = machine.mute = False
+    world.state.refused.clear()
+    world.state.late_writes = 0.0
+    world.state.slowness = 1.0
+    world.net.slow.clear()
+    if world.state.down:
+        world.state.outage_over()
+    over = world.loop.time()
+    for ref in world.jobs:
+        while await world.poll(ref) not in ("pending", "running", "done", "withdrawn"):
+            assert world.loop.time() < over + 75, f"forgotten {ref}"
+            await asyncio.sleep(1)
+    await world.until_done(*refs, seconds=seconds)
+    world.verdict()
+
+
+def _holders(world: World, ref: str) -> list[FakeWorker]:
+    return [world.referee.on[task] for task in world.on(ref)]
+
+
+@pytest.mark.parametrize("how", ["hung", "deaf", "mute"])
+def test_the_leader_ends_while_machines_with_long_tasks_do_not_hear_the_next(how: str) -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(6, 60.0)
+        await world.submit(world.job(2, Shape="group", Pieces=2, Cores=3.0, RunS=40.0))
+        await world.until(lambda: len(world.on("req-000002")) == 2)
+        for machine in _holders(world, "req-000001")[:3]:
+            setattr(machine, how, True)
+        world.crash(owner)
+        await _watch(world, 1)
+        world.boot(owner)
+        await world.submit(world.job(3, Pieces=4, RunS=3.0))
+        await _watch(world, 30)
+        await _end(world, "req-000001", "req-000002", "req-000003")
+
+    play(story)
+
+
+def test_urgent_and_other_work_beyond_the_room_over_slow_links() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, limits={"red": 30})
+        world.cloud.capacity = 3
+        await world.start()
+        for name in world.nodes:
+            world.net.slow[world.host(name)] = 0.4
+        refs = []
+        for number in range(1, 10):
+            rank = ["best_effort", "high"][number % 2]
+            crew = ["red", "blue"][number % 2]
+            await world.submit(world.job(number, Pieces=10, Rank=rank, Crew=crew, RunS=2.0))
+            refs.append(f"req-{number:06d}")
+        await _watch(world, 10)
+        await _end(world, *refs)
+
+    play(story)
+
+
+def test_jobs_of_one_zone_lose_machines_and_stay_there() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=6, OneZone=True, Cores=3.0, RunS=15.0))
+        await world.submit(
+            world.job(2, Shape="group", Pieces=3, OneZone=True, Cores=3.0, RunS=15.0)
+        )
+        await world.until(lambda: len(world.on("req-000001")) >= 3)
+        for round_ in range(3):
+            held = _holders(world, "req-000001") + _holders(world, "req-000002")
+            if held:
+                victim = held[round_ % len(held)]
+                if round_ == 1:
+                    victim.hung = True
+                elif victim.name in world.cloud.machines:
+                    world.cloud.machines.pop(victim.name).stop()
+            owner = world.owner()
+            if owner is not None:
+                world.crash(owner)
+                world.boot(owner)
+            await _watch(world, 8)
+        await _end(world, "req-000001", "req-000002")
+
+    play(story)
+
+
+def test_a_team_at_its_limit_a_new_leader_machines_that_can_not_be_asked_and_a_cancellation() -> (
+    None
+):
+    async def story(loop: Loop) -> None:
+        world = World(loop, limits={"red": 8})
+        await world.start()
+        await world.submit(world.job(1, Pieces=8, RunS=100.0))
+        await world.submit(world.job(2, Pieces=8, RunS=5.0))
+        await world.until(lambda: len(world.on("req-000001")) == 8)
+        owner = world.owner()
+        assert owner is not None
+        silent = _holders(world, "req-000001")[0]
+        for name in world.nodes:
+            world.net.cut(silent.host, world.host(name))
+        world.crash(owner)
+        assert await world.cancel("req-000001", _others(world, owner)[0]) == "withdrawn"
+        since = loop.time()
+        await world.until(lambda: len(world.on("req-000002")) > 0, seconds=30)
+        assert loop.time() - since < 3 * FakeWorker.LEASE  # nobody waits for ever
+        await _watch(world, 5)
+        for name in world.nodes:
+            world.net.heal(silent.host, world.host(name))
+        await _end(world, "req-000002")
+
+    play(story)
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_leaders_change_ten_times_in_two_minutes(outage: bool) -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, seed=3)
+        await world.busy(6, 100.0)
+        await world.submit(world.job(2, Shape="group", Pieces=2, Cores=2.0, RunS=30.0))
+        for moment in range(10):
+            if outage and moment in (2, 6):
+                world.state.down = True
+            if moment in (4, 8) and world.state.down:
+                world.state.outage_over()
+            leader = world.owner() or world.nodes[moment % 3]
+            if leader in world.running:
+                world.crash(leader)
+            await _watch(world, 0.4 if moment % 3 else 3.0)
+            world.boot(leader)
+            await _watch(world, 10)
+        await _end(world, "req-000001", "req-000002")
+
+    play(story)
+
+
+def test_a_command_is_held_up_and_the_machine_goes_on_after_a_cancellation() -> None:
+    """Starts are on their way to machines that can't be reached for seconds, or that hang."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(2, 60.0)
+        machines = list(world.cloud.machines.values())
+        for machine in machines:
+            world.net.cut(machine.host, world.host(owner))
+        await world.submit(world.job(2, Pieces=8, RunS=60.0), owner)
+        await _watch(world, 1.0)  # direct starts are held in the cut
+        for machine in machines[:1]:
+            machine.hung = True
+        assert await world.cancel("req-000002") == "withdrawn"
+        await _watch(world, 2.0)
+        for machine in machines:
+            world.net.heal(machine.host, world.host(owner), deliver=True)
+        await _watch(world, 2.0)
+        for machine in machines:
+            machine.hung = False
+        await _watch(world, World.CANCEL)
+        assert world.on("req-000002") == []
+        await _end(world, "req-000001")
+
+    play(story)
+
+
+def test_a_report_is_held_back_until_a_new_leader_has_acted() -> None:
+    """Also one of an earlier session, after newer ones of the machine."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(4, 30.0)
+        machine = _holders(world, "req-000001")[0]
+        old = machine.report()  # never sent so far
+        world.crash(owner)
+        await world.until(lambda: world.owner() not in (None, owner))
+        second = world.owner()
+        assert second is not None
+        await _watch(world, 3)
+        await world.ask(second, "POST", "/agent/beat", old)
+        machine.hung = True  # until its lease and with it its session has ended
+        await _watch(world, 2.5 * FakeWorker.LEASE)
+        machine.hung = False
+        await _watch(world, 3)
+        for _ in range(3):
+            await world.ask(second, "POST", "/agent/beat", old)
+            await _watch(world, 1)
+        world.boot(owner)
+        await _end(world, "req-000001")
+
+    play(story)
+
+
+def test_controllers_hand_over_and_back_all_end_and_one_returns_within_a_second() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, seed=7)
+        await world.busy(6, 40.0)
+        for _ in range(4):
+            owner = world.owner()
+            if owner is not None:
+                world.parts[owner].owners[0].resigned = True  # it hands its block back
+            await _watch(world, 1.5)
+            for name in world.nodes:
+                world.crash(name)
+            await _watch(world, 0.6)
+            world.boot(world.nodes[0])
+            await _watch(world, 2)
+            for name in world.nodes[1:]:
+                world.boot(name)
+            await _watch(world, 4)
+        await _end(world, "req-000001")
+
+    play(story)
+
+
+def test_mute_machines_get_no_new_tasks_and_are_given_back() -> None:
+    """They reach no controller, while direct commands reach them."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(4, 10.0)
+        mute = list(world.cloud.machines.values())
+        for machine in mute:
+            machine.mute = True
+        await _watch(world, FakeWorker.LEASE / 2 + 2)
+        ran = world.referee.starts
+        refs = [f"req-{number:06d}" for number in range(2, 8)]
+        for ref in refs:
+            await world.submit(world.job(int(ref[4:]), Pieces=2, RunS=5.0))
+            await _watch(world, 3)
+        await world.until_done("req-000001", *refs, seconds=100)
+        # Each task of the first job once more at most, all others once: none died on a mute one.
+        assert world.referee.starts <= ran + 4 + 2 * len(refs)
+        assert not any(machine.name in world.cloud.machines for machine in mute)
+        await _end(world, "req-000001")
+
+    play(story)
+
+
+def test_jobs_whose_tasks_end_far_apart_across_a_change_of_leader() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        refs = [f"req-{number:06d}" for number in range(1, 5)]
+        for number, ref in enumerate(refs, 1):
+            await world.submit(world.job(number, Pieces=2 + number % 2, RunS=4.0))
+            await world.until(lambda ref=ref: len(world.on(ref)) >= 2)
+            slow = _holders(world, ref)[0]
+            slow.hung = True
+            loop.call_later(4.5, setattr, slow, "hung", False)
+            await _watch(world, 2 + number)
+            owner = world.owner()
+            if owner is not None:
+                world.crash(owner)
+                await _watch(world, 0.5)
+                world.boot(owner)
+        await _end(world, *refs)
+
+    play(story)
+
+
+@pytest.mark.parametrize("share", [0.15, 0.4])
+def test_transactions_without_an_answer_are_carried_out_late(share: float) -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, seed=2)
+        await world.start()
+        world.state.late_writes = share
+        refs = []
+        for number in range(1, 9):
+            refs.append(f"req-{number:06d}")
+            await world.submit(world.job(number, Pieces=3, RunS=4.0 * (1 + number % 3)))
+            await _watch(world, 2)
+            if number % 4 == 0:
+                assert await world.cancel(refs.pop()) in ("withdrawn", "done")
+            if number == 5:
+                owner = world.owner()
+                if owner is not None:
+                    world.crash(owner)
+                    await _watch(world, 1)
+                    world.boot(owner)
+        await _watch(world, 15)
+        await _end(world, *(ref for ref in refs if ref not in world.referee.cancelled_at))
+
+    play(story)
+
+
+def test_a_late_write_of_results_does_not_undo_a_newer_one() -> None:
+    """The workers have forgotten what the newer one holds; the next owner reads it."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 1
+        await world.start()
+        await world.submit(world.job(1, Pieces=400, Cores=1.0, RunS=2.0))
+        await world.until(lambda: len(world.referee.results) >= 16)
+        # From now on writes of results go unanswered, and are carried out much later.
+        world.state.late_writes, world.state.late_keys = 1.0, "open/req-000001/"
+        await _watch(world, 2.5)
+        world.state.late_writes = 0.0
+        key = "open/req-000001/0.0"
+        highest = 0
+        for _ in range(150):
+            await _watch(world, 0.1)
+            count = world.state.keys.get(key, ({"count": 0},))[0]["count"]
+            assert count >= highest, (count, highest)
+            highest = count
+        assert highest > 40
+        world.verdict()
+
+    play(story)
+
+
+def test_the_leader_is_refused_then_everybody_while_users_cancel_and_ask() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(4, 200.0)
+        for number in range(2, 7):
+            await world.submit(world.job(number, Pieces=2, RunS=200.0))
+        world.state.slowness = 8.0
+        await _watch(world, 3)
+        world.state.refused.add(world.host(owner))
+        cancels = []
+        for number in range(2, 7):
+            cancels.append(loop.create_task(world.cancel(f"req-{number:06d}")))
+            await _watch(world, 0.4)
+            for asked in range(1, number):
+                await world.poll(f"req-{asked:06d}")
+        world.state.down = True
+        await _watch(world, World.CANCEL + 5)
+        world.state.refused.clear()
+        world.state.outage_over()
+        world.state.slowness = 1.0
+        await asyncio.gather(*cancels)
+        await _watch(world, World.CANCEL)
+        assert not any(world.on(f"req-{number:06d}") for number in range(2, 7))
+        await _end(world, "req-000001", seconds=400)
+
+    play(story)
+
+
+def test_jobs_are_cancelled_through_a_new_leader_while_the_old_one_has_its_workers_and_users() -> (
+    None
+):
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        first = await world.busy(6, 200.0)
+        await world.submit(world.job(2, Pieces=4, RunS=200.0))
+        await world.until(lambda: len(world.on("req-000002")) == 4)
+        world.estrange(first)
+        other = _others(world, first)[0]
+        assert await world.cancel("req-000001", other) == "withdrawn"
+        await _watch(world, 0.5)
+        # The old leader must say nothing older to anybody.
+        for _ in range(20):
+            await world.poll("req-000001", first)
+            await _watch(world, 0.3)
+        assert await world.cancel("req-000002", other) == "withdrawn"
+        await _watch(world, World.CANCEL)
+        assert world.on("req-000001") == [] and world.on("req-000002") == []
+        world.reconcile(first)
+        await _end(world)
+
+    play(story)
+
+
+def test_all_controllers_are_away_for_longer_than_a_lease() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(6, 20.0)
+        await world.submit(world.job(2, Shape="group", Pieces=2, Cores=2.0, RunS=20.0))
+        for name in world.nodes:
+            world.crash(name)
+        await _watch(world, 2 * FakeWorker.LEASE)
+        assert world.on("req-000001") == []  # their leases have run out
+        for name in world.nodes:
+            world.boot(name)
+        await _end(world, "req-000001", "req-000002")
+
+    play(story)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_cancellation_a_question_and_a_repeated_submission_meet_the_end_of_the_last_task(
+    seed: int,
+) -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, seed=seed)
+        await world.start()
+        await world.submit(world.job(100, Pieces=8, RunS=100.0))  # machines that stay
+        await world.until(lambda: len(world.on("req-000100")) == 8)
+        for number in range(1, 25):
+            ref = f"req-{number:06d}"
+            job = world.job(number, Pieces=1 + number % 2, RunS=1.0)
+            await world.submit(job)
+            tasks = {f"{ref}/{index}" for index in range(job["Pieces"])}
+            await world.until(lambda tasks=tasks: tasks <= world.referee.results)
+            await asyncio.sleep(0.02 * number * (seed + 1) / 2)
+            await asyncio.gather(
+                world.cancel(ref), world.poll(ref), world.submit(job), world.poll(ref)
+            )
+            assert await world.poll(ref) in ("done", "withdrawn")
+        await _end(world)
+
+    play(story, seed)
+
+
+def test_jobs_that_can_not_run_or_lack_a_field_are_refused_and_known_ones_never() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        good = world.job(1, Pieces=2, RunS=30.0)
+        assert await world.submit(good) == 201
+        never = [
+            {"Yard": "nowhere"}, {"Grades": []}, {"Grades": ["huge"]}, {"Cores": 17.0},
+            {"Grades": ["small"], "Gpus": 1.0}, {"Crew": "nobody"},
+            {"Shape": "group", "Pieces": 3, "OneZone": True, "Apart": True},
+            {"Shape": "group", "Pieces": 3, "Yard": "a", "Apart": True},
+        ]  # fmt: skip
+        for number, fields in enumerate(never, 10):
+            job = world.job(number, **fields)
+            assert (await world.ask("node-0", "POST", "/api/jobs", job))[0] == 422, fields
+        malformed = [{"Pieces": None}, {"Cores": "1"}, {"Pieces": 0}, {"Rank": "urgent"}]
+        world.state.down = True  # what is malformed is known to be in an outage too
+        for number, fields in enumerate(malformed, 30):
+            job = world.job(number, **fields)
+            assert (await world.ask("node-1", "POST", "/api/jobs", job))[0] == 400, fields
+        for field in ("Lane", "Pieces", "OneZone", "GuessS", "Mould"):
+            job = {key: value for key, value in world.job(40).items() if key != field}
+            assert (await world.ask("node-1", "POST", "/api/jobs", job))[0] == 400, field
+        # Nobody knows whether it was accepted earlier: neither 422 nor 200.
+        job = world.job(50, Cores=17.0)
+        assert (await world.ask("node-1", "POST", "/api/jobs", job))[0] == 503
+        world.state.outage_over()
+        await _watch(world, 3)
+        await _end(world, "req-000001")
+
+    play(story)
