--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -511,6 +511,24 @@
     assert everywhere.given_up == 4 and attempt.grace is None
 
 
+def test_a_job_does_not_wait_for_long_beside_the_only_machine_that_was_slow_for_it() -> None:
+    story = Story()
+    work = story.submit()
+    attempt = story.attempt(work)
+    attempt.stage, attempt.ran_at = "running", story.now
+    story.now += 400 * US
+    story.block._give_up_slow(work, story.now)
+    assert attempt.grace is not None
+    story.beat("m-0", listed(attempt, "ended", "stopped"))
+    plan(story.block, story.now)
+    assert not work.live  # anywhere else would be better
+    for _ in range(75):
+        story.now += US
+        story.beat("m-0")
+        plan(story.block, story.now)
+    assert work.live
+
+
 def test_room_is_gathered_for_a_large_gang_that_waits() -> None:
     """Single tasks of its own rank would else take each place as it falls free."""
     story = Story(machines=2)
