--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -420,6 +420,21 @@
             return
         self.tasks[key] = {"Stage": "fetching", "at": self.loop.time() + 0.5}
 
+    def holds(self, job: dict[str, Any]) -> bool:
+        """Might a task of the job be started here now?"""
+        if job["Grades"] is not None and self.kind["Label"] not in job["Grades"]:
+            return False
+        if job["Yard"] not in (None, self.zone) or (self.spot and not job["Loaners"]):
+            return False
+        if job["OneZone"] or job["Apart"]:
+            return False  # where it may be depends on its other tasks
+        on = [t for (t, _), e in self.tasks.items() if e["Stage"] != "ended"]
+        used = [self.world.jobs[t.partition("/")[0]] for t in on]
+        return all(
+            sum(other[what] for other in used) + job[what] <= self.kind[what] + 1e-9
+            for what in ("Cores", "Gpus", "MemoryGb")
+        )
+
     def finish(self, key: tuple[str, int], why: str) -> None:
         self._end(key, why)
 
@@ -479,10 +494,22 @@
 
 
 class Referee:
-    """Watches the rules from outside."""
+    """Watches the rules from outside: by what workers, users and the cloud see."""
+
+    FORGOTTEN = 75.0  # s without an answered question, once all troubles are over
+    WAITED = 90.0  # s beside room on a machine that fits
+    FIELDS = (
+        "Ref", "Lane", "Crew", "Shape", "Rank", "Pieces", "Cores", "Gpus", "MemoryGb", "Mould",
+        "PullGb", "OneZone", "Apart", "Loaners", "GuessS", "MarkEveryS", "MarkS",
+    )  # fmt: skip
 
     def __init__(self, world: "World") -> None:
         self.world = world
+        self.calm_at: float | None = None  # since when there is no trouble any more
+        self.answered_at: dict[str, float] = {}
+        self.idle_from: dict[str, float] = {}  # since when a job waits beside room
+        self.looked_at = 0.0
+        self.started_cancelled: list[tuple[str, float]] = []  # and how long after the user knew
         self.on: dict[str, FakeWorker] = {}
         self.results: set[str] = set()
         self.told: dict[str, str] = {}
@@ -509,6 +536,8 @@
         if most and used > most + 1e-9:
             self.say(f"quota {job['Crew']}: {used}")
         if ref in self.cancelled_at:
+            late = self.world.loop.time() - self.cancelled_at[ref]
+            self.started_cancelled.append((task, late))
             self._late(task)
 
     def _places(self, ref: str, job: dict[str, Any], worker: FakeWorker) -> None:
@@ -543,6 +572,59 @@
         for task in self.on:
             if task.partition("/")[0] in self.cancelled_at:
                 self._late(task)
+        now = self.world.loop.time()
+        if self.calm_at is not None and now >= self.looked_at + 1:
+            self.looked_at = now
+            self._waiting(now)
+
+    def calm(self) -> None:
+        """All troubles are over."""
+        self.calm_at = self.world.loop.time()
+        self.idle_from.clear()
+
+    def _waiting(self, now: float) -> None:
+        """No job waits for long while a machine that fits has room and its team may use it."""
+        jobs = self.world.jobs
+        running = {task.partition("/")[0] for task in self.on}
+        for ref, told in self.told.items():
+            waits = (
+                told not in ("done", "withdrawn")
+                and ref not in running
+                and not self.world.asked_cancel.get(ref)
+                and any(f"{ref}/{i}" not in self.results for i in range(jobs[ref]["Pieces"]))
+                and jobs[ref]["Shape"] != "group"
+                and self._has_room(jobs[ref])
+            )
+            if not waits:
+                self.idle_from.pop(ref, None)
+            elif now - self.idle_from.setdefault(ref, now) > self.WAITED:
+                self.say(f"waited {ref}")
+                self.idle_from[ref] = now
+
+    def _has_room(self, job: dict[str, Any]) -> bool:
+        most = self.world.limits.get(job["Crew"], 0)
+        team = [t for t in self.on if self.world.jobs[t.partition("/")[0]]["Crew"] == job["Crew"]]
+        used = sum(self.world.jobs[t.partition("/")[0]]["Cores"] for t in team)
+        if most and used + job["Cores"] > most + 1e-9:
+            return False
+        return any(
+            worker.up and worker.recall is None and worker.holds(job)
+            for worker in self.world.cloud.machines.values()
+        )
+
+    def _may_run(self, job: dict[str, Any]) -> bool:
+        """Lacks it no field, and can it run at all?"""
+        if any(job.get(field) is None for field in self.FIELDS):
+            return False
+        most = self.world.limits.get(job["Crew"], 0)
+        count = job["Pieces"] if job["Shape"] == "group" else 1
+        return (not most or job["Cores"] * count <= most + 1e-9) and any(
+            job["Cores"] <= kind["Cores"] and job["Gpus"] <= kind["Gpus"]
+            and job["MemoryGb"] <= kind["MemoryGb"]
+            and (job["Grades"] is None or kind["Label"] in job["Grades"])
+            and (job["Yard"] is None or job["Yard"] in kind["Yards"])
+            for kind in self.world.cloud.TYPES
+        )  # fmt: skip
 
     def answered(
         self, ref: str, verb: str, status: int, body: dict[str, Any], before: str | None
@@ -553,11 +635,18 @@
             self.say(f"forgotten {ref}")
         if status in (400, 422) and before is not None:
             self.say(f"forgotten {ref}: {status}")
+        now = self.world.loop.time()
         if status not in (200, 201):
+            known = max(self.calm_at or now, self.answered_at.get(ref, 0.0))
+            if before is not None and now - known > self.FORGOTTEN:
+                self.say(f"forgotten {ref}: no answer")
             return
+        self.answered_at[ref] = now
         if ref not in self.world.jobs:
             self.say(f"invented {ref}")
             return
+        if verb == "submit" and not self._may_run(self.world.jobs[ref]):
+            self.say(f"bad job accepted {ref}")
         stage = body["Stage"]
         if before in ("done", "withdrawn") and stage != before:
             self.say(f"went_back {ref}: {before}, then {stage}")
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -227,6 +227,7 @@
         for machine in world.cloud.machines.values():
             machine.hung = machine.deaf = machine.mute = False
         assert not any(task.done() for task in world.running.values())
+        world.referee.calm()
         left = [ref for ref in world.jobs if ref not in world.referee.cancelled_at]
         await world.until_done(*left, seconds=400)
         world.verdict()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -203,6 +203,7 @@
     if world.state.down:
         world.state.outage_over()
     over = world.loop.time()
+    world.referee.calm()
     for ref in world.jobs:
         while await world.poll(ref) not in ("pending", "running", "done", "withdrawn"):
             assert world.loop.time() < over + 75, f"forgotten {ref}"
