--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -167,7 +167,7 @@
             owner.close(ref)
 
     def _looked_at(self) -> int | None:
-        looks = [owner.looked_at for owner in self.owners.values() if owner.loaded]
+        looks = [owner.looked_at for owner in self.owners.values()]
         return min((look for look in looks if look is not None), default=None)
 
     def _covered(self, since: int, until: int) -> None:
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -257,7 +257,7 @@
     def covered(self, since: int, until: int) -> None:
         """Every controller's word of what it confirmed in that time is as good as a look at its
         end, if our own last look reaches to its beginning."""
-        if self.loaded and self.looked_at is not None and since <= self.looked_at:
+        if self.looked_at is not None and since <= self.looked_at:
             self.looked_at = max(self.looked_at, until)
 
     def _change(self, change: Change) -> None:
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -115,8 +115,8 @@
     def ride_us(self) -> int:
         """How long an owner may act without a look at the cancellations.
 
-        Let L be the time at which its last good look was asked for. What was committed before L
-        is in that look, so a cancellation it does not know of was told to its user after L.
+        Let L be the time at which its last good look was asked for, or every other controller's
+        word of what it had confirmed (see Peers). What was told before L is known by it, so a cancellation it does not know of was told to its user after L.
         A report is answered with 200 only while the clock reads less than L + ride (`acts` is
         asked in the turn in which the answer is written, so a process that stood still before
         that turn answers nothing; one that stands still after it has answered a report that was
