--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -67,7 +67,7 @@
         return max(self.touched_until, self.vouched_until)
 
     @property
-    def lonely(self) -> bool:
+    def partitioned(self) -> bool:
         """Has the state service been silent for a while?"""
         return now_us() - self.contact_at > self.ttl_us // 3
 
@@ -84,7 +84,7 @@
         """
         member = self.cluster.members.get(name)
         replaced = bool(self.cluster.members) and (member is None or member[0].life != life)
-        if not self.lonely or replaced or not life or span_us <= 0:
+        if not self.partitioned or replaced or not life or span_us <= 0:
             return 0
         span = min(span_us, self.ttl_us)
         now = now_us()
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -107,7 +107,7 @@
             and not self.resigned
             and self.member.life == self.grant.life
             and self.looked_at is not None
-            and now_us() < self.looked_at + self.settings.ride_us
+            and now_us() < self.looked_at + self.settings.staleness_us
         )
 
     def guards(self) -> list[Guard]:
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -48,7 +48,7 @@
         self.promised_until = 0
         self.promised_life = ""  # a promise to an earlier life of ours is worth nothing
         self.heard_at = 0  # the last answer, and what it said of the state service
-        self.lonely = False
+        self.partitioned = False
         # From when until when the peer has told us every cancellation that it confirmed.
         self.covers: tuple[int, int] | None = None
         self.connecting = False
@@ -94,7 +94,7 @@
         message = self.hub.read(body)
         if not isinstance(message, Promise) or message.name != self.peer.member:
             return
-        self.heard_at, self.lonely = now_us(), message.lonely
+        self.heard_at, self.partitioned = now_us(), message.partitioned
         if message.life != self.hub.member.life or not self.hub.member.stamp:
             return
         sent, looked_at = self.asked.pop(message.seq, (None, None))
@@ -153,7 +153,7 @@
         if isinstance(message, Ask) and message.name in self.names:
             span = self.member.promise(message.name, message.life, message.span_us)
             answer = Promise(
-                message.seq, self.member.name, message.life, span, self.member.lonely,
+                message.seq, self.member.name, message.life, span, self.member.partitioned,
                 self._confirmed(message.blind_us),
             )  # fmt: skip
             protocol.send(encode(answer))
@@ -188,7 +188,7 @@
     def nobody_better(self) -> bool:
         """Do others say that they have lost the state service too, and nobody that it has not?"""
         recent = now_us() - self.member.ttl_us
-        heard = [link.lonely for link in self.links if link.heard_at > recent]
+        heard = [link.partitioned for link in self.links if link.heard_at > recent]
         return bool(heard) and all(heard)
 
     def count(self) -> None:
@@ -204,7 +204,7 @@
         The load balancer takes its time to trust one again that has called itself unhealthy."""
         while True:
             await asyncio.sleep(self.member.ttl_us / 10e6)
-            if not self.member.lonely:  # be ready to tell of cancellations
+            if not self.member.partitioned:  # be ready to tell of cancellations
                 links = [link.connect() for link in self.links]
                 await asyncio.gather(*links, return_exceptions=True)
                 continue
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -112,19 +112,20 @@
     operator: Operator = Operator()
 
     @property
-    def ride_us(self) -> int:
+    def staleness_us(self) -> int:
         """How long an owner may act without a look at the cancellations.
 
         Let L be the time at which its last good look was asked for, or every other controller's
-        word of what it had confirmed (see Peers). What was told before L is known by it, so a cancellation it does not know of was told to its user after L.
-        A report is answered with 200 only while the clock reads less than L + ride (`acts` is
-        asked in the turn in which the answer is written, so a process that stood still before
+        word of what it had confirmed (see Peers). What was told before L is known by it, so a
+        cancellation it does not know of was told to its user after L.
+        A report is answered with 200 only while the clock reads less than L + staleness (`acts`
+        is asked in the turn in which the answer is written, so a process that stood still before
         that turn answers nothing; one that stands still after it has answered a report that was
         sent before). The worker's lease counts from when that report was *sent*, so it is over
-        at L + ride + lease at the latest, however long the answer was under way. Direct commands
-        renew nothing, and one that is executed late starts nothing that outlives the lease.
-        Clocks drift by 0.05% and a worker looks at its lease now and then: a hundredth of the
-        lease, a tenth of the rest and a second are left for that. So the task is gone within
+        at L + staleness + lease at the latest, however long the answer was under way. Direct
+        commands renew nothing, and one that is executed late starts nothing that outlives the
+        lease. Clocks drift by 0.05% and a worker looks at its lease now and then: a hundredth of
+        the lease, a tenth of the rest and a second are left for that. So the task is gone within
         `cancel_s` of L, and the user was told later than that.
         """
         w = self.facts.workers
@@ -137,7 +138,7 @@
         wished = self.operator.right_s
         if wished is None:
             wished = self.facts.workers.lease_s * 0.3
-        return min(int(wished * US), self.ride_us)
+        return min(int(wished * US), self.staleness_us)
 
 
 def _convert(data: Any, kind: Any, where: str) -> Any:
--- a/basaltlead/wire/peers.py
+++ b/basaltlead/wire/peers.py
@@ -14,14 +14,14 @@
     blind_us: int | None = None
 
 
-class Promise(Struct, tag="promise", tag_field="is"):
+class Promise(Struct, tag="promise", tag_field="is", rename={"partitioned": "lonely"}):
     """The answer; a span of 0 is a refusal."""
 
     seq: int
     name: str
     life: str
     span_us: int
-    lonely: bool = False  # has the answering controller lost the state service too?
+    partitioned: bool = False  # has the answering controller lost the state service too?
     # Every cancellation that it has confirmed to anybody since then; None if it can't say.
     cancelled: list[str] | None = None
 
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -45,7 +45,7 @@
         owner = await world.busy(2, 300.0)
         other = next(name for name in world.nodes if name != owner)
         world.state.down = True
-        ride = world.parts[owner].settings.ride_us / 1e6
+        ride = world.parts[owner].settings.staleness_us / 1e6
         if what == "restarted":
             world.crash(other)
             await asyncio.sleep(0.3)
