--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -24,18 +24,18 @@
     return f"c/block/{block}"
 
 
-class Claim(Struct):
+class Claim(Struct, rename={"incarnation": "life"}):  # as it is stored
     """The value of the leader's key and of member keys."""
 
     name: str
-    life: str  # the incarnation
+    incarnation: str  # the incarnation
 
 
-class Grant(Struct):
+class Grant(Struct, rename={"incarnation": "life"}):
     """The value of a block's key. One that was handed back names nobody, and whom to avoid."""
 
     name: str
-    life: str
+    incarnation: str
     baton: int
     avoid: str = ""
 
@@ -61,9 +61,9 @@
         self.baton: tuple[Counter, int] | None = None
         self.loads: dict[int, Load] = {}
 
-    def lives(self, name: str, life: str) -> bool:
+    def lives(self, name: str, incarnation: str) -> bool:
         member = self.members.get(name)
-        return member is not None and member[0].life == life
+        return member is not None and member[0].incarnation == incarnation
 
     def member_stamp(self, name: str) -> int:
         member = self.members.get(name)
@@ -71,14 +71,16 @@
 
     @property
     def leader_lives(self) -> bool:
-        return self.leader is not None and self.lives(self.leader[0].name, self.leader[0].life)
+        return self.leader is not None and self.lives(
+            self.leader[0].name, self.leader[0].incarnation
+        )
 
     def taker(self, block: int, me: str) -> str | None:
         """Whom to lease a block to: the living member with fewest blocks, the leader itself
         among equals, and not whoever has just handed it back if there is anybody else."""
         count = dict.fromkeys(self.members, 0)
         for held, _ in self.blocks.values():
-            if self.lives(held.name, held.life):
+            if self.lives(held.name, held.incarnation):
                 count[held.name] += 1
         held_back = self.blocks.get(block)
         avoid = held_back[0].avoid if held_back is not None else ""
@@ -98,7 +100,7 @@
         out = []
         for block in range(count):
             held = self.blocks.get(block)
-            if held is None or not self.lives(held[0].name, held[0].life):
+            if held is None or not self.lives(held[0].name, held[0].incarnation):
                 out.append(block)
         return out
 
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -42,7 +42,7 @@
         # for, so a watch must come back well within that.
         self.watch_ms = min(4000, right_us // 4000)
         self.block_count = blocks
-        self.life = ""
+        self.incarnation = ""
         self.hold = 0
         self.stamp = 0
         self.touched_until = 0  # how long our hold provably lasts
@@ -76,30 +76,34 @@
         """Has the state service not answered for so long that asking it for a user is no use?"""
         return now_us() - self.contact_at > self.ttl_us
 
-    def promise(self, name: str, life: str, span_us: int) -> int:
+    def promise(self, name: str, incarnation: str, span_us: int) -> int:
         """Promise an owner not to put anybody in its place; 0 when we will not.
 
         With the state service in sight there is no reason to: if the owner has lost it alone,
         somebody else should serve its machines.
         """
         member = self.cluster.members.get(name)
-        replaced = bool(self.cluster.members) and (member is None or member[0].life != life)
-        if not self.partitioned or replaced or not life or span_us <= 0:
+        replaced = bool(self.cluster.members) and (
+            member is None or member[0].incarnation != incarnation
+        )
+        if not self.partitioned or replaced or not incarnation or span_us <= 0:
             return 0
         span = min(span_us, self.ttl_us)
         now = now_us()
         self.promises = {key: until for key, until in self.promises.items() if until > now}
-        self.promises[(name, life)] = now + span
+        self.promises[(name, incarnation)] = now + span
         return span
 
     def may_replace(self, held: Grant) -> bool:
-        """Are all promises to this owner over, those that an earlier life of ours may have
-        made included? One that was replaced by its own next life has no use for any."""
+        """Are all promises to this owner over, those that an earlier incarnation of ours may have
+        made included? One that was replaced by its own next incarnation has no use for any."""
         member = self.cluster.members.get(held.name)
-        if held.name == self.name or (member is not None and member[0].life != held.life):
+        if held.name == self.name or (
+            member is not None and member[0].incarnation != held.incarnation
+        ):
             return True
         now = now_us()
-        return now >= self.promises.get((held.name, held.life), 0) and (
+        return now >= self.promises.get((held.name, held.incarnation), 0) and (
             not held.name or now >= self.started_at + self.ttl_us * 101 // 100
         )
 
@@ -110,21 +114,30 @@
     def owned(self, block: int) -> tuple[Grant, int] | None:
         """The grant of a block to this very incarnation."""
         held = self.cluster.blocks.get(block)
-        if held is None or held[0].name != self.name or held[0].life != self.life or not self.life:
+        if (
+            held is None
+            or held[0].name != self.name
+            or held[0].incarnation != self.incarnation
+            or not self.incarnation
+        ):
             return None
         return held
 
     def owner(self, block: int) -> str | None:
         """The living owner of a block, as far as known."""
         held = self.cluster.blocks.get(block)
-        if held is None or not self.cluster.lives(held[0].name, held[0].life):
+        if held is None or not self.cluster.lives(held[0].name, held[0].incarnation):
             return None
         return held[0].name
 
     @property
     def leads(self) -> bool:
         leader = self.cluster.leader
-        return leader is not None and leader[0].life == self.life and bool(self.life)
+        return (
+            leader is not None
+            and leader[0].incarnation == self.incarnation
+            and bool(self.incarnation)
+        )
 
     # Loops
 
@@ -152,25 +165,25 @@
     def leave(self) -> None:
         self.stamp = 0
         self.touched_until = self.vouched_until = 0
-        self.life = ""
+        self.incarnation = ""
         self.changed()
 
     async def _join(self) -> None:
         sent = now_us()
         hold = await self.state.hold(self.ttl_us)
         old = await self.state.get(member_key(self.name))
-        life = f"{chance.getrandbits(48):012x}"
+        incarnation = f"{chance.getrandbits(48):012x}"
         # Guarded on what stood there, so that a late copy of this very request from an earlier
         # incarnation can't put that one back into our place.
         stamp = await self.state.multi(
             [Guard(member_key(self.name), old.stamp if old else 0)],
-            [Put(member_key(self.name), Claim(self.name, life), hold)],
+            [Put(member_key(self.name), Claim(self.name, incarnation), hold)],
         )
-        self.hold, self.life, self.stamp = hold, life, stamp
+        self.hold, self.incarnation, self.stamp = hold, incarnation, stamp
         self.touched_until = leadership.right_end(sent, self.ttl_us)
         self.contact_at = now_us()
-        self.cluster.members[self.name] = (Claim(self.name, life), stamp)
-        log.info("joined as %s/%s", self.name, life)
+        self.cluster.members[self.name] = (Claim(self.name, incarnation), stamp)
+        log.info("joined as %s/%s", self.name, incarnation)
         self.wake.set()
         self.changed()
 
@@ -191,7 +204,7 @@
 
     def _looked(self) -> None:
         mine = self.cluster.members.get(self.name)
-        if self.stamp and (mine is None or mine[0].life != self.life) and (
+        if self.stamp and (mine is None or mine[0].incarnation != self.incarnation) and (
             mine is None or mine[1] > self.stamp
         ):  # fmt: skip
             log.info("our member key is gone, joining anew")
@@ -274,10 +287,10 @@
             guards.append(Guard(LEADER, stamp))
             if claim.name != self.name:  # this key is the proof that the old leader's right ended
                 guards.append(Guard(member_key(claim.name), cluster.member_stamp(claim.name)))
-        claim = Claim(self.name, self.life)
+        claim = Claim(self.name, self.incarnation)
         stamp = await self.state.multi(guards, [Put(LEADER, claim, self.hold)])
         self.cluster.leader = (claim, stamp)
-        log.info("leading as %s/%s", self.name, self.life)
+        log.info("leading as %s/%s", self.name, self.incarnation)
         self.wake.set()
 
     async def _grant(self, block: int) -> None:
@@ -291,7 +304,7 @@
         named = {held[0].name if held is not None else "", target} - {"", self.name}
         for name in sorted(named):  # the old owner's right has ended; the new one lives
             guards.append(Guard(member_key(name), cluster.member_stamp(name)))
-        grant = Grant(target, cluster.members[target][0].life, counter.last + 1)
+        grant = Grant(target, cluster.members[target][0].incarnation, counter.last + 1)
         stamp = await self.state.multi(
             guards, [Put(BATON, Counter(grant.baton)), Put(block_key(block), grant)]
         )
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -105,7 +105,7 @@
         return (
             self.member.acts
             and not self.resigned
-            and self.member.life == self.grant.life
+            and self.member.incarnation == self.grant.incarnation
             and self.looked_at is not None
             and now_us() < self.looked_at + self.settings.staleness_us
         )
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -46,7 +46,9 @@
         # When each question was sent, and from when on it asked for cancellations.
         self.asked: dict[int, tuple[int, int | None]] = {}
         self.promised_until = 0
-        self.promised_life = ""  # a promise to an earlier life of ours is worth nothing
+        self.promised_incarnation = (
+            ""  # a promise to an earlier incarnation of ours is worth nothing
+        )
         self.heard_at = 0  # the last answer, and what it said of the state service
         self.partitioned = False
         # From when until when the peer has told us every cancellation that it confirmed.
@@ -64,7 +66,7 @@
         while len(self.asked) > 20:
             del self.asked[next(iter(self.asked))]
         blind_us = None if looked_at is None else max(0, now - looked_at)
-        self.send(Ask(self.hub.seq, member.name, member.life, span_us, blind_us))
+        self.send(Ask(self.hub.seq, member.name, member.incarnation, span_us, blind_us))
 
     def send(self, message: Message) -> None:
         if self.protocol is not None and not self.protocol.send(encode(message)):
@@ -95,7 +97,7 @@
         if not isinstance(message, Promise) or message.name != self.peer.member:
             return
         self.heard_at, self.partitioned = now_us(), message.partitioned
-        if message.life != self.hub.member.life or not self.hub.member.stamp:
+        if message.incarnation != self.hub.member.incarnation or not self.hub.member.stamp:
             return
         sent, looked_at = self.asked.pop(message.seq, (None, None))
         if message.cancelled is not None and sent is not None and looked_at is not None:
@@ -107,8 +109,8 @@
             return  # promises prolong a right; they can't bring back one that somebody may have
         if sent is not None and message.span_us > 0:
             until = sent + message.span_us - message.span_us // 500 - 20_000
-            if self.promised_life != message.life:
-                self.promised_life, self.promised_until = message.life, 0
+            if self.promised_incarnation != message.incarnation:
+                self.promised_incarnation, self.promised_until = message.incarnation, 0
             self.promised_until = max(self.promised_until, until)
             self.hub.count()
 
@@ -151,9 +153,9 @@
     def _received(self, protocol: FrameProtocol, body: bytes) -> None:
         message = self.read(body)
         if isinstance(message, Ask) and message.name in self.names:
-            span = self.member.promise(message.name, message.life, message.span_us)
+            span = self.member.promise(message.name, message.incarnation, message.span_us)
             answer = Promise(
-                message.seq, self.member.name, message.life, span, self.member.partitioned,
+                message.seq, self.member.name, message.incarnation, span, self.member.partitioned,
                 self._confirmed(message.blind_us),
             )  # fmt: skip
             protocol.send(encode(answer))
@@ -194,8 +196,8 @@
     def count(self) -> None:
         """Extend our right to the earliest end among all peers' promises: one that has not
         promised may replace us."""
-        life = self.member.life
-        if self.links and all(link.promised_life == life for link in self.links):
+        incarnation = self.member.incarnation
+        if self.links and all(link.promised_incarnation == incarnation for link in self.links):
             self.member.vouched_until = min(link.promised_until for link in self.links)
 
     async def ask(self) -> None:
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -102,14 +102,14 @@
         await world.start()
         await world.until(lambda: world.owner() is not None)
         member = world.parts["node-0"].member
-        life = member.cluster.members["node-1"][0].life
-        assert member.promise("node-1", life, 1_000_000) == 0
+        incarnation = member.cluster.members["node-1"][0].incarnation
+        assert member.promise("node-1", incarnation, 1_000_000) == 0
         world.state.down = True
         await asyncio.sleep(member.ttl_us / 1e6)
-        assert member.promise("node-1", "an earlier life", 1_000_000) == 0
-        span = member.promise("node-1", life, 10**12)
+        assert member.promise("node-1", "an earlier incarnation", 1_000_000) == 0
+        span = member.promise("node-1", incarnation, 10**12)
         assert 0 < span <= member.ttl_us
-        assert Ask(1, "node-1", "life", 5).span_us == 5
+        assert Ask(1, "node-1", "incarnation", 5).span_us == 5
 
     play(story)
 
@@ -120,17 +120,21 @@
         await world.start()
         await world.until(lambda: world.owner() is not None)
         member = world.parts["node-0"].member
-        gone = Grant("node-x", "life", 1)
-        assert not member.may_replace(gone)  # just started: may have promised in an earlier life
+        gone = Grant("node-x", "incarnation", 1)
+        assert not member.may_replace(
+            gone
+        )  # just started: may have promised in an earlier incarnation
         await asyncio.sleep(member.ttl_us * 1.02 / 1e6)
         assert member.may_replace(gone)
         world.state.down = True
         await asyncio.sleep(member.ttl_us / 2e6)
-        member.cluster.members["node-x"] = (Claim("node-x", "life"), 1)
-        assert member.promise("node-x", "life", member.ttl_us) > 0
+        member.cluster.members["node-x"] = (Claim("node-x", "incarnation"), 1)
+        assert member.promise("node-x", "incarnation", member.ttl_us) > 0
         del member.cluster.members["node-x"]  # its hold has ended
         assert not member.may_replace(gone)
-        assert member.may_replace(Grant("node-1", "an earlier life", 1))  # replaced by itself
+        assert member.may_replace(
+            Grant("node-1", "an earlier incarnation", 1)
+        )  # replaced by itself
 
     play(story)
 
