--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -264,6 +264,7 @@
         self.up = False
         self.hung = False
         self.deaf = False  # its reports arrive, but answers and commands don't reach it
+        self.faulty = False  # all that runs on it fails
         self.mute = False  # it reaches no controller, while direct commands reach it
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.change = asyncio.Event()
@@ -474,9 +475,11 @@
                 if entry["Stage"] == "running" and now >= entry["at"]:
                     if job["Shape"] == "group":
                         self.world.end_gang(task, key[1])
+                    elif self.faulty or job.get("Broken"):
+                        self._end(key, "error")
                     else:
                         self.world.referee.completed(task)
-                        self._end(key, "error" if job.get("Broken") else "done")
+                        self._end(key, "done")
 
     async def handle(self, request: Request) -> Response:
         while self.hung or self.deaf:
--- /dev/null
+++ b/tests/test_strangers.py
@@ -0,0 +1,116 @@
+"""Work that nobody planned for: jobs with a mistake, faulty machines, guests in great numbers."""
+
+import asyncio
+
+from tests.fakes import World
+from tests.world import Loop, play
+
+
+def test_a_job_that_fails_everywhere_burns_no_fleet_and_no_machine_is_blamed_for_it() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=30, RunS=1.0, Broken=True))
+        for number in range(2, 8):
+            await world.submit(world.job(number, Pieces=4, RunS=10.0))
+        await world.until_done(*[f"req-{n:06d}" for n in range(2, 8)], seconds=60)
+        rented = set(world.cloud.machines)
+        for _ in range(8):
+            for name in world.nodes:
+                assert await world.poll("req-000001", name) in ("pending", "running")
+            await asyncio.sleep(15)
+        assert world.referee.starts_of("req-000001") < 90  # of 30 tasks, for three minutes
+        owner = world.owner()
+        assert owner is not None
+        machines = world.parts[owner].owners[0].block.machines.values()
+        assert not any(machine.draining for machine in machines)
+        assert world.cloud.count <= len(rented) + 4  # none was changed for another
+        assert await world.cancel("req-000001") == "withdrawn"
+        await asyncio.sleep(3)
+        assert world.on("req-000001") == []
+        world.verdict()
+
+    play(story)
+
+
+def test_a_machine_on_which_everything_fails_is_told_apart_from_a_job_that_does() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(4, 20.0)
+        faulty = next(iter(world.cloud.machines.values()))
+        faulty.faulty = True
+        await world.submit(world.job(9, Pieces=2, RunS=2.0, Broken=True))
+        refs = [f"req-{number:06d}" for number in range(2, 8)]
+        for ref in refs:
+            await world.submit(world.job(int(ref[4:]), Pieces=2, RunS=3.0))
+            await asyncio.sleep(2)
+        await world.until_done("req-000001", *refs, seconds=120)
+        await world.until(lambda: faulty.name not in world.cloud.machines, seconds=60)
+        assert await world.cancel("req-000009") == "withdrawn"
+        world.verdict()
+
+    play(story)
+
+
+def test_guests_take_what_others_leave_and_are_served_all_the_same() -> None:
+    """One huge array, a swarm of tiny jobs; the fleet is too small for all of it."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.cloud.capacity = 4
+        await world.start()
+        await world.submit(world.job(500, Crew="blue", Rank="best_effort", Pieces=2000, RunS=4.0))
+        began = loop.time()
+        swarm = [
+            world.job(500 + number, Crew="blue", Rank="best_effort", Cores=0.5, RunS=1.0)
+            for number in range(1, 41)
+        ]
+        await asyncio.gather(*(world.submit(job) for job in swarm))
+        own = [f"req-{number:06d}" for number in range(1, 9)]
+        for ref in own:
+            number = int(ref[4:])
+            await world.submit(world.job(number, Pieces=4, Rank="high", RunS=3.0))
+            await world.until(lambda ref=ref: world.referee.starts_of(ref) > 0, seconds=15)
+            await asyncio.sleep(2)
+        await world.until_done(*own, seconds=40)
+        await world.until_done(*(job["Ref"] for job in swarm), seconds=240 - (loop.time() - began))
+        assert world.referee.starts_of("req-000500") > 100  # the largest goes on as well
+        world.verdict()
+
+    play(story)
+
+
+def test_a_controller_that_was_silent_for_long_acts_on_nothing_it_believed() -> None:
+    """Its late orders and writes change nothing, and what it learns of run times stays sensible."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(6, 30.0)
+        await world.submit(world.job(2, Pieces=6, RunS=5.0))
+        world.freeze(owner)
+        await asyncio.sleep(75)
+        other = world.owner()
+        assert other not in (None, owner)
+        await world.until_done("req-000001", "req-000002")
+        before = dict(world.state.keys)
+        starts = world.referee.starts
+        world.thaw(owner)
+        await asyncio.sleep(3)
+        assert world.owner() == other and world.referee.starts == starts
+        kept = [key for key in before if key.startswith(("over/", "c/block/"))]
+        assert all(world.state.keys[key] == before[key] for key in kept)
+        # The other one stands still while its tasks run: no run time is taken from that.
+        await world.submit(world.job(3, Pieces=4, RunS=4.0, GuessS=4.0))
+        await world.until(lambda: len(world.on("req-000003")) == 4)
+        assert other is not None
+        world.freeze(other)
+        await asyncio.sleep(1.0)
+        world.thaw(other)
+        await world.until_done("req-000003")
+        now = world.owner()
+        assert now is not None
+        ratio = world.parts[now].owners[0].block.ratio.get("lane", 1.0)
+        assert 0.3 < ratio < 3.0
+        world.verdict()
+
+    play(story)
