--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -766,6 +766,24 @@
     def thaw(self, name: str) -> None:
         self.loop.thaw(self.host(name))
 
+    def heal(self) -> None:
+        """All troubles end at once: from now on the referee wants every job served."""
+        for name in self.nodes:
+            self.thaw(name)
+            self.rejoin(name)
+            if name not in self.running:
+                self.boot(name)
+        for machine in self.cloud.machines.values():
+            machine.hung = machine.deaf = machine.mute = False
+        self.state.refused.clear()
+        self.state.late_writes = 0.0
+        self.state.slowness = 1.0
+        self.net.slow.clear()
+        self.net.refusing.clear()
+        if self.state.down:
+            self.state.outage_over()
+        self.referee.calm()
+
     def isolate(self, name: str, state: bool = True, cloud: bool = True) -> None:
         """Cut a controller off from everybody, or from all but some."""
         for host in self._around(name, state, cloud):
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -212,22 +212,8 @@
         await users
         trouble.cancel()
         # Everything heals; every job that was accepted and not cancelled must come to its end.
-        world.state.outage_over()
-        world.state.slowness = 1.0
-        world.state.late_writes = 0.0
-        world.state.refused.clear()
-        world.net.slow.clear()
-        world.net.refusing.clear()
-        for name in world.nodes:
-            world.thaw(name)
-            world.rejoin(name)
-            world.net.heal(world.host(name), world.state.HOST)
-            if name not in world.running:
-                world.boot(name)
-        for machine in world.cloud.machines.values():
-            machine.hung = machine.deaf = machine.mute = False
+        world.heal()
         assert not any(task.done() for task in world.running.values())
-        world.referee.calm()
         left = [ref for ref in world.jobs if ref not in world.referee.cancelled_at]
         await world.until_done(*left, seconds=400)
         world.verdict()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -189,21 +189,8 @@
 
 async def _end(world: World, *refs: str, seconds: float = 200) -> None:
     """All troubles are over: every job is answered soon, and those that were not cancelled run."""
-    for name in world.nodes:
-        world.thaw(name)
-        world.rejoin(name)
-        if name not in world.running:
-            world.boot(name)
-    for machine in world.cloud.machines.values():
-        machine.hung = machine.deaf = machine.mute = False
-    world.state.refused.clear()
-    world.state.late_writes = 0.0
-    world.state.slowness = 1.0
-    world.net.slow.clear()
-    if world.state.down:
-        world.state.outage_over()
+    world.heal()
     over = world.loop.time()
-    world.referee.calm()
     for ref in world.jobs:
         while await world.poll(ref) not in ("pending", "running", "done", "withdrawn"):
             assert world.loop.time() < over + 75, f"forgotten {ref}"
