--- a/basaltlead/core/picture.py
+++ b/basaltlead/core/picture.py
@@ -378,10 +378,9 @@
         machine.faults.add(work.job.ref)
         machine.avoid_until = now + 4 * US * len(machine.faults)
         # Jobs that ran elsewhere speak against it; of others it takes more.
-        sure = [
-            ref for ref in machine.faults if ref not in self.works or self.works[ref].done_count
-        ]
-        if len(sure) >= 2 or len(machine.faults) >= 4:
+        others = (self.works.get(ref) for ref in machine.faults)
+        sure = sum(1 for other in others if other is None or other.done_count)
+        if sure >= 2 or len(machine.faults) >= 4:
             machine.draining = True
             self.log(f"machine {machine.name} is faulty: {sorted(machine.faults)} failed on it")
 
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -36,7 +36,9 @@
     StoredMachine,
     job_of,
     load_progress,
+    progress_key,
     split_open,
+    stretch_count,
 )  # fmt: skip
 from basaltlead.results import Results
 from basaltlead.settings import Settings
@@ -276,11 +278,12 @@
             self.close(ref)
 
     def close(self, ref: str) -> None:
-        if ref in self.block.works:
+        work = self.block.works.get(ref)
+        if work is not None:
             self.block.close_job(ref, now_us())
             self.results.forget(ref)
-            for key in [key for key in self.stamps if key.startswith(f"{OPEN}{ref}/")]:
-                del self.stamps[key]
+            for stretch in range(stretch_count(work.job.tasks)):
+                self.stamps.pop(progress_key(ref, self.number, stretch), None)
             self.wake.set()
 
     # Reports
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -182,10 +182,9 @@
 
     def attest(self) -> None:
         """What all peers together have covered is as good as a look of our owners' own."""
-        covers = [link.covers for link in self.links]
-        if covers and None not in covers:
-            known = [one for one in covers if one is not None]
-            self.covered(max(low for low, _ in known), min(high for _, high in known))
+        covers = [link.covers for link in self.links if link.covers is not None]
+        if covers and len(covers) == len(self.links):
+            self.covered(max(low for low, _ in covers), min(high for _, high in covers))
 
     def nobody_better(self) -> bool:
         """Do others say that they have lost the state service too, and nobody that it has not?"""
