The next in the workers' lists replaces a lost owner

Ruled out: late takeovers (the next owner had loaded 0.1 s after the other stepped down, 3 s after the cut began). Now candidates wait 0.15 s for each one before them in the order of the lists, beginning after the last owner, so nodes that are away stay behind the owner.

--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -95,6 +95,29 @@
         idle = [name for name in self.members if name not in owners]
         return max(mine) if len(mine) > 1 and idle else None
 
+    @property
+    def predecessor(self) -> str:
+        """Who owned the first block last, whether it was lost or handed back."""
+        held = self.blocks.get(0)
+        if held is None:
+            return ""
+        return held[0].name or held[0].avoid
+
+    def succession(self) -> list[str]:
+        """The members in the order in which they should replace the last owner: those listed
+        after it first.
+
+        A worker whose node falls silent tries the next one in its list. If that one is the new
+        owner, the worker loses no time there; if it is a node that has been away for longer, the
+        worker waits for another 4 s, and a short lease is over before it has tried a third.
+        Taking turns in the order of the list keeps nodes that are away behind the owner, not
+        before it. The order of the workers' lists is not specified: numbered names are taken to
+        be listed by number. Nothing but the time that a takeover takes depends on it.
+        """
+        names = sorted(self.members, key=list_order)
+        last = list_order(self.predecessor)
+        return sorted(names, key=lambda name: (list_order(name) <= last, list_order(name)))
+
     def orphans(self, count: int) -> list[int]:
         """Blocks without a living owner."""
         out = []
@@ -105,6 +128,11 @@
         return out
 
 
+def list_order(name: str) -> tuple[int, str]:
+    """Sorts numbered names by number: "node-9" before "node-10"."""
+    return (len(name), name)
+
+
 def right_end(sent_us: int, ttl_us: int) -> int:
     """Until when a touch sent at `sent_us` provably keeps a hold: less the drift of our clock
     against the state service's, and less the resolution of timers."""
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -27,6 +27,11 @@
 from basaltlead.waiting import woken
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 
+# A candidate for the leader's place waits for that long for each one before it in the order of
+# succession: well above the time by which watches differ, well below what a takeover may take.
+CLAIM_STEP_US = 150_000
+LEAD_PAUSE_S = 0.5  # between two looks at the cluster, should nothing have changed
+
 
 class Membership:
     """Keeps the hold alive and the picture of the cluster fresh.
@@ -54,6 +59,7 @@
         self.changed: Callable[[], None] = lambda: None
         self.wake = asyncio.Event()
         self.shy_until = 0  # after stepping down: let others claim first
+        self.vacant_since: int | None = None  # since when no leader is known to live
         self.chance = chance
 
     # Rights
@@ -256,14 +262,22 @@
 
     async def lead(self) -> None:
         """Claim the leader's key when nobody living has it; as leader, lease out the blocks."""
+        pause_s = LEAD_PAUSE_S
         while True:
-            await woken(self.wake, 0.5)
+            await woken(self.wake, pause_s)
+            pause_s = LEAD_PAUSE_S
+            if self.cluster.leader_lives:
+                self.vacant_since = None
             if not self.acts or self.name not in self.cluster.members:
                 continue
             try:
                 if not self.cluster.leader_lives:
                     if now_us() < self.shy_until and len(self.cluster.members) > 1:
                         continue
+                    turn_in_us = self._claim_turn_us() - now_us()
+                    if turn_in_us > 0:
+                        pause_s = min(LEAD_PAUSE_S, turn_in_us / 1e6)
+                        continue
                     await self._claim()
                 elif self.leads:
                     for block in self.cluster.orphans(self.block_count):
@@ -277,6 +291,16 @@
                 log.debug("claim: %s", fault)
                 await asyncio.sleep(self.chance.uniform(0.1, 0.4))
 
+    def _claim_turn_us(self) -> int:
+        """When it is this candidate's turn to claim the leader's place. All may claim in the end:
+        a key may outlive its process for a while."""
+        if self.vacant_since is None:
+            self.vacant_since = now_us()
+        if not self.cluster.predecessor:
+            return self.vacant_since
+        place = self.cluster.succession().index(self.name)
+        return self.vacant_since + place * CLAIM_STEP_US
+
     async def _claim(self) -> None:
         cluster = self.cluster
         guards = [self.guard()]
