Machines with attempts that must stay listed are returned all the same

Cause: an attempt whose direct start was never answered stays in its worker's list for as long as the session lasts, and a machine with anything in its list was never idle. Ruled out: work that waits, spares, results that were not stored.

--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -203,6 +203,15 @@
             index < work.job.tasks and work.is_done(index) and index not in work.unstored
         )  # fmt: skip
 
+    def settled(self, machine: Machine) -> bool:
+        """Would nothing be lost if the machine were returned? An attempt whose number must not be
+        forgotten stays listed for as long as its session lasts: it is no reason to go on paying
+        for the machine."""
+        return not machine.attempts and all(
+            rest.over and (rest.forgettable or self._kept(ref, index))
+            for (ref, index, _), rest in machine.rest.items()
+        )
+
     # Time
 
     def tick(self, now: int) -> None:
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -195,14 +195,15 @@
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
+            settled = self.owner.block.settled(machine)
             overdue = self._overdue(machine, now)
             idle = (
-                machine.up and machine.synced and not machine.rest
+                machine.up and machine.synced and settled
                 and machine.name not in needed
                 and now - machine.idle_since > share * self._rebuy_us(machine)
                 and now - machine.made_at > MINIMUM_US - 5 * US
             )  # fmt: skip
-            faulty = machine.draining and not machine.rest
+            faulty = machine.draining and settled
             since = max(machine.deaf_since, machine.back_at)
             deaf = bool(machine.deaf_since) and now - since > 2 * timing.lapse_us
             # Everything silent at once is more likely our own trouble than theirs.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -265,6 +265,7 @@
         self.hung = False
         self.deaf = False  # its reports arrive, but answers and commands don't reach it
         self.faulty = False  # all that runs on it fails
+        self.answers_lost = False  # direct commands are executed, and their answers lost
         self.mute = False  # it reaches no controller, while direct commands reach it
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.change = asyncio.Event()
@@ -493,6 +494,8 @@
             self.baton = body["Baton"]
             self.change.set()
         self._orders(body["Orders"])
+        while self.answers_lost and body["Orders"]:
+            await asyncio.sleep(0.2)
         return reply(200, self.report())
 
 
@@ -774,7 +777,7 @@
             if name not in self.running:
                 self.boot(name)
         for machine in self.cloud.machines.values():
-            machine.hung = machine.deaf = machine.mute = False
+            machine.hung = machine.deaf = machine.mute = machine.answers_lost = False
         self.state.refused.clear()
         self.state.late_writes = 0.0
         self.state.slowness = 1.0
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -550,3 +550,28 @@
 
 def _there(story: Story, name: str) -> list[Attempt]:
     return list(story.block.machines[name].attempts.values())
+
+
+def test_a_machine_is_settled_although_an_attempt_must_stay_listed() -> None:
+    """A direct start that was never answered may arrive again, so its number is not forgotten.
+    That is no reason to keep the machine once the result is stored."""
+    story = Story()
+    machine = story.block.machines["m-0"]
+    work = story.submit()
+    attempt = story.attempt(work)
+    _, flown = story.block.direct(machine, story.now)
+    assert not story.block.settled(machine)
+    story.block.landed(flown, None)
+    assert story.beat("m-0", listed(attempt, "ended", "done")) == []
+    assert not story.block.settled(machine)  # its list is the only record of the result
+    story.block.stored(work, [0])
+    assert story.beat("m-0", listed(attempt, "ended", "done")) == []  # not forgotten
+    assert story.block.settled(machine)
+
+
+def test_a_machine_with_a_running_task_of_a_closed_job_is_not_settled() -> None:
+    story = Story()
+    machine = story.block.machines["m-0"]
+    foreign = Listed("req-000009/0", 3, "running")
+    assert story.beat("m-0", foreign) == [("halt", "req-000009/0")]
+    assert not story.block.settled(machine)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,9 @@
 from basaltlead.core import fleet
 from basaltlead.core.fleet import Need, Offer
 from basaltlead.core.model import US
+from tests.fakes import World
 from tests.test_block import KIND, Story, a_job
+from tests.world import Loop, play
 
 BOTH: dict[Offer, int | None] = {Offer("k", "a", True): None, Offer("k", "a", False): None}
 
@@ -24,3 +26,19 @@
     two_spots = BOTH | {Offer("k", "a", True): 2}
     assert _hired(5 * US, two_spots) == [True] * 2
     assert _hired(60 * US, two_spots) == [True] * 2 + [False] * 8
+
+
+def test_machines_are_returned_although_direct_orders_were_never_answered() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.submit(world.job(1, Pieces=3, RunS=12.0))
+        await world.until(lambda: len(world.on("req-000001")) == 3)
+        for machine in world.cloud.machines.values():
+            machine.answers_lost = True
+        await world.submit(world.job(2, Pieces=3, RunS=3.0))
+        await world.until_done("req-000001", "req-000002")
+        await world.until(lambda: not world.cloud.machines, seconds=150.0)
+        world.verdict()
+
+    play(story)
