--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -344,12 +344,12 @@
         try:
             async with asyncio.timeout(timeout_us / 1e6), self.slots:
                 connection = self.resting.pop() if self.resting else await self._connect()
-                loop = asyncio.get_running_loop()
-                connection.reply = loop.create_future()
                 if connection.transport is None:
                     raise Failed("connection lost", sent=False)
                 if not still():
                     raise Failed("the right has ended", sent=False)
+                # Only now: a reply that nobody waits for would be reported as a lost exception.
+                connection.reply = asyncio.get_running_loop().create_future()
                 sent = True
                 connection.transport.write(
                     f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,6 +1,7 @@
 """Stories of whole controllers in a world in memory."""
 
 import asyncio
+import gc
 
 import pytest
 
@@ -414,3 +415,22 @@
         world.verdict()
 
     play(story)
+
+
+def test_a_call_that_is_no_longer_allowed_leaves_no_reply_behind() -> None:
+    """Its connection is closed; a reply that nobody waits for was reported as a lost exception."""
+
+    async def story(loop: Loop) -> None:
+        async def answer(request: Request) -> Response:
+            return Response(200, b"{}")
+
+        await Server(answer, 10).start("10.0.0.1:8080")
+        pool = Pool("10.0.0.1:8080", 1)
+        with pytest.raises(Failed) as failed:
+            await pool.request("POST", "/", still=lambda: False)
+        assert not failed.value.sent
+        await asyncio.sleep(0.1)
+        del pool
+        gc.collect()
+
+    play(story)
