--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -430,7 +430,7 @@
             await pool.request("POST", "/", still=lambda: False)
         assert not failed.value.sent
         await asyncio.sleep(0.1)
-        del pool
+        del failed, pool  # nothing may hold the reply any more
         gc.collect()
 
     play(story)
