--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -431,6 +431,7 @@
         assert not failed.value.sent
         await asyncio.sleep(0.1)
         del failed, pool  # nothing may hold the reply any more
+        loop.net.ends.clear()
         gc.collect()
 
     play(story)
