Tasks that a new owner found running teach no run times

Their run was counted from when the new owner first heard of them, so after every takeover, such as after an owner had stood still for some seconds, a class was learned to run for less than it does; need, deadlines and slow machines were then judged by that. The story: 30 s were learned for tasks of 40 s. It also shows that submission and due times survive a takeover with each controller's time of day off by a second either way.

--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -131,8 +131,8 @@
     """One start of one task on one machine, from the wish until it is provably gone."""
 
     __slots__ = (
-        "bid", "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick", "since",
-        "stage", "token", "told", "work",
+        "adopted", "bid", "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick",
+        "since", "stage", "token", "told", "work",
     )  # fmt: skip
 
     def __init__(self, work: "Work", index: int, machine: "Machine", token: int, now: int) -> None:
@@ -150,6 +150,9 @@
         self.loose = False  # a direct order was never answered: a copy may still arrive
         self.since = now
         self.ran_at = 0
+        # It was running when this owner first heard of it: since when is not known, and its run
+        # time teaches nothing.
+        self.adopted = False
         self.bid = 0.0  # what is booked for it on its machine
 
     @property
@@ -308,6 +311,8 @@
         self.bid = 0.0
         self.slots: int | None = None  # what the auction gave it; None before its first round
         self.need: int | None = None  # what must run now for it to be done in time
+        # Has it a deadline, or a promise of its class, that it can still keep? Arrays only.
+        self.promised = True
         self.finished_recent = 0
         self.ran_us = 0  # run time of its tasks that completed, and how many those were
         self.ran_count = 0
--- a/basaltlead/core/picture.py
+++ b/basaltlead/core/picture.py
@@ -337,7 +337,8 @@
         machine.rest[(*attempt.key, attempt.token)] = rest
         if why == "done":
             machine.faults.clear()
-            if attempt.ran_at and not work.closed and not (job.gang and work.done_count):
+            known = attempt.ran_at and not attempt.adopted
+            if known and not work.closed and not (job.gang and work.done_count):
                 self._learn(work, now - attempt.ran_at)
             self._result(work, attempt.index)
         self._remove(attempt, now)
@@ -427,6 +428,7 @@
             del machine.rest[key]
             attempt = Attempt(work, index, machine, seen.token, now)
             attempt.stage = "sent"
+            attempt.adopted = seen.stage in ("running", "saving")
             self._enlist(attempt)
             self._progress(attempt, seen, now)
 
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from basaltlead.clock import now_us
 from basaltlead.core.model import Machine
 from basaltlead.reach import Reach
@@ -197,3 +199,41 @@
         world.verdict()
 
     play(story)
+
+
+@pytest.mark.parametrize("signs", [(1, -1, 1), (-1, 1, -1)])
+def test_job_times_outlive_a_takeover_with_clocks_that_are_off(signs: tuple[int, ...]) -> None:
+    """What one controller wrote down by its time of day, another reads by its own."""
+
+    async def story(loop: Loop) -> None:
+        off = 1.0
+        world = World(loop)
+        for name, sign in zip(world.nodes, signs, strict=True):
+            loop.wall_off[world.host(name)] = sign * off
+        await world.start()
+        asked = loop.time()
+        await world.submit(world.job(1, Pieces=3, RunS=40.0, GuessS=40.0, DueS=100.0))
+        accepted = loop.time()
+        await world.until(lambda: len(world.on("req-000001")) == 3)
+        first = world.owner()
+        assert first is not None
+        await asyncio.sleep(10)
+        world.crash(first)
+        await world.until(lambda: world.owner() not in (None, first))
+        await asyncio.sleep(2)
+        owner = world.parts[str(world.owner())].owners[0]
+        job = owner.block.works["req-000001"]
+        assert asked - 2 * off <= job.asked_at / 1e6 <= accepted + 2 * off
+        due_at = owner.market.due(job, now_us()).at
+        assert due_at is not None and abs(due_at / 1e6 - asked - 100.0) <= 2 * off + 1
+        for machine in owner.block.machines.values():
+            born = world.cloud.machines[machine.name].born
+            assert abs(machine.made_at / 1e6 - born) < 15.0  # of use only to judge its first boot
+        await world.until_done("req-000001")
+        assert owner.block.ratio == {}  # nobody here saw the whole run of a task
+        await world.submit(world.job(2, Pieces=3, RunS=20.0, GuessS=20.0))
+        await world.until_done("req-000002")
+        assert 0.9 <= owner.block.ratio["lane"] <= 1.1
+        world.verdict()
+
+    play(story)
--- a/tests/world.py
+++ b/tests/world.py
@@ -181,6 +181,7 @@
         super().__init__()
         self._selector = _Selector()
         self.net = Network(self, random.Random(seed))
+        self.wall_off: dict[str, float] = {}  # how wrong a host's time of day is, in s
         self.frozen: dict[str, list[tuple[Any, Any, contextvars.Context]]] = {}
 
     def time(self) -> float:
@@ -236,7 +237,11 @@
     failures: list[str] = []
     loop.set_exception_handler(lambda _, context: failures.append(str(context)))
     asyncio.set_event_loop(loop)
-    clock.use(lambda: int(loop.time() * 1e9), lambda: int((loop.time() + 1.7e9) * 1e9), seed)
+
+    def time_of_day() -> int:
+        return int((loop.time() + 1.7e9 + loop.wall_off.get(HOST.get(), 0.0)) * 1e9)
+
+    clock.use(lambda: int(loop.time() * 1e9), time_of_day, seed)
     try:
         loop.run_until_complete(story(loop))
     finally:
