--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -1,6 +1,7 @@
 """The rounds: budgets are refilled, bids follow progress, the auction gives out slots."""
 
 from collections.abc import Iterable
+from math import ceil
 from typing import Protocol
 
 from msgspec import Struct
@@ -11,6 +12,9 @@
 from basaltlead.core.demand import NO_DUE, Due
 from basaltlead.core.model import US, Work
 
+# Of the capacity: what jobs without a promise may always bid for, however much promised jobs
+# need. They use what others leave; with nothing left for long they would not be served at all.
+UNPROMISED_SHARE = 0.25
 SMOOTH = 0.5  # weight of the newest round in the measured rate
 
 
@@ -156,30 +160,74 @@
         for work in works:
             if work.job.team in self.budgets and work.live:
                 self.budgets[work.job.team].pay(work.bid)
-        self.share(block)
+        self.share(block, now)
 
-    def share(self, block: Block) -> None:
+    def promised(self, work: Work, now: int) -> bool:
+        """Is there a deadline or a promise of its class that it can still keep?"""
+        return self.due(work, now).at is not None
+
+    def share(self, block: Block, now: int) -> None:
         """The auction over the present capacity. Deadline jobs want what keeps them in time,
-        others slots for all their tasks. Run between rounds too: new work must not wait."""
-        works = [w for w in block.works.values() if not w.closed and not w.job.gang]
-        bids = [
-            Bid(
-                w.job.ref,
-                max(w.bid, self.terms.reserve),
-                w.job.size,
-                w.remaining if w.need is None else min(w.need, w.remaining),
-            )
-            for w in works
-        ]
-        # Gangs hold whole machines by rank and take no part: what they use is not for sale. Sold
-        # twice, it left those that come last in start order with shares of nothing.
+        others slots for all their tasks. Run between rounds too: new work must not wait.
+
+        What keeps promised jobs in time is given out first, all others share what is left. In one
+        auction a team with much work in time drained its budget, and was outbid by long tasks
+        that nobody had promised anything.
+        """
+        arrays = [w for w in block.works.values() if not w.closed and not w.job.gang]
+        for work in arrays:
+            work.promised = self.promised(work, now)
+        promised = [self._bid(work) for work in arrays if work.promised]
+        others = [work for work in arrays if not work.promised]
+        capacity = self._capacity(block)
+        reserved = capacity * UNPROMISED_SHARE if others else 0.0
+        slots = clear(promised, capacity - reserved)
+        given = sum(slots[bid.key] * bid.size for bid in promised)
+        slots |= self._share_rest(block, others, capacity - given)
+        self.price = price([*promised, *map(self._bid, others)], capacity)
+        for work in arrays:
+            work.slots = slots[work.job.ref]
+        block.dirty = True
+
+    def _share_rest(self, block: Block, works: list[Work], capacity: float) -> dict[str, int]:
+        """Slots for jobs without a promise: each team's share by the sum of its bids. Within a
+        team the job that is nearest to its end comes first: shared evenly, long jobs of the same
+        size would all end last. Every job has one slot, so that it begins."""
+        bids = {work.job.ref: self._bid(work) for work in works}
+        teams: dict[str, list[Work]] = {}
+        for work in works:
+            teams.setdefault(work.job.team, []).append(work)
+        wanted = [self._team_bid(team, [bids[w.job.ref] for w in teams[team]]) for team in teams]
+        shares = clear(wanted, capacity)
+        slots: dict[str, int] = {}
+        for team, members in teams.items():
+            left = float(shares[team])
+            for bid in (bids[work.job.ref] for work in members):
+                slots[bid.key] = min(1, bid.most)
+                left -= slots[bid.key] * bid.size
+            for work in sorted(members, key=lambda w: w.remaining * w.job.size * block.guess_us(w)):
+                bid = bids[work.job.ref]
+                more = min(bid.most - slots[bid.key], max(0, int(left / bid.size)))
+                slots[bid.key] += more
+                left -= more * bid.size
+        return slots
+
+    @staticmethod
+    def _team_bid(team: str, bids: list[Bid[str]]) -> Bid[str]:
+        """What a team wants for its jobs together, in CPUs."""
+        most = ceil(sum(bid.most * bid.size for bid in bids))
+        return Bid(team, sum(bid.amount for bid in bids), 1.0, most)
+
+    def _bid(self, work: Work) -> Bid[str]:
+        most = work.remaining if work.need is None else min(work.need, work.remaining)
+        return Bid(work.job.ref, max(work.bid, self.terms.reserve), work.job.size, most)
+
+    @staticmethod
+    def _capacity(block: Block) -> float:
+        """CPUs that are for sale. Gangs hold whole machines by rank and take no part. Sold twice,
+        what they use left those that come last in start order with shares of nothing."""
+        up = [m for m in block.machines.values() if m.up and not m.lost and not m.deaf_since]
         gangs = sum(
             len(w.live) * w.job.size for w in block.works.values() if w.job.gang and not w.closed
         )
-        up = [m for m in block.machines.values() if m.up and not m.lost and not m.deaf_since]
-        capacity = max(0.0, sum(m.kind.cpus for m in up) - gangs)
-        slots = clear(bids, capacity)
-        self.price = price(bids, capacity)
-        for work in works:
-            work.slots = slots[work.job.ref]
-        block.dirty = True
+        return max(0.0, sum(m.kind.cpus for m in up) - gangs)
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -9,11 +9,12 @@
 
 from basaltlead.core import gangs, placement
 from basaltlead.core.block import Block
-from basaltlead.core.model import US, Attempt, Job, Machine, Work, allowed
+from basaltlead.core.model import RANKS, US, Attempt, Job, Machine, Work, allowed
 from basaltlead.core.picture import Limits
 
 MOST_STARTS = 2000  # of one job in one plan
 GATHER_US = 20 * US  # a gang that has waited for so long has room kept free for it
+HIGH_RANK = RANKS["high"]  # from this rank on, jobs take the place of any lower one
 MOST_CLEARED = 40  # tasks of one job for which others are stopped, in one plan
 
 # What a gang may have on one machine: cost of each place, name, machine, places, what must stop.
@@ -36,10 +37,16 @@
     )
 
 
+def displaceable(work: Work) -> bool:
+    """May ordinary work of a higher rank take its place? Nobody was promised when it is done,
+    and what it has done so far is saved."""
+    return not work.promised and work.job.mark_every_us > 0
+
+
 def order(block: Block, now: int) -> list[Work]:
     """Open jobs with waiting tasks, in the order in which they are started: guarantees, rank,
-    gangs (whole, before arrays take the room), the team furthest below its share, the higher
-    bid, the older."""
+    gangs (whole, before arrays take the room), jobs with a promise to keep, the team furthest
+    below its share, the higher bid, the older."""
     shares: dict[str, float] = {}
     for work in block.works.values():
         if not work.closed:
@@ -54,8 +61,8 @@
     return sorted(
         ready,
         key=lambda w: (
-            not guaranteed(block, w), -w.job.rank, not w.job.gang, excess(w.job.team),
-            -w.bid, w.asked_at,
+            not guaranteed(block, w), -w.job.rank, not w.job.gang, not w.promised,
+            excess(w.job.team), -w.bid, w.asked_at,
         ),
     )  # fmt: skip
 
@@ -267,17 +274,26 @@
     ) -> Iterator[tuple[float, Machine, list[Attempt]]]:
         """Machines on which one task fits once others are stopped, those, and the loss."""
         within = guaranteed(self.block, work)
+        gently = not work.job.gang and work.job.rank < HIGH_RANK and not within
+
+        def may_stop(other: Work) -> bool:
+            return self._may_stop(work.job, within, other) and (not gently or displaceable(other))
+
         for machine in suited:
-            found = placement.victims(
-                work.job, machine, self.now, lambda other: self._may_stop(work.job, within, other)
-            )
+            found = placement.victims(work.job, machine, self.now, may_stop)
             if found is not None:
                 yield found[0], machine, found[1]
 
     def _make_room(self, work: Work, zones: set[str]) -> tuple[Machine, list[Attempt]] | None:
-        """The machine on which stopping others of lower rank wastes least."""
-        if work.job.rank < 2 and not guaranteed(self.block, work):
-            return None  # ordinary work waits for what is rented for it
+        """The machine on which stopping others of lower rank wastes least. Ordinary work waits
+        for what is rented for it, unless its promise depends on a share that others hold."""
+        below_share = work.slots is not None and len(work.live) < work.slots
+        if (
+            work.job.rank < HIGH_RANK
+            and not (work.promised and below_share)
+            and not guaranteed(self.block, work)
+        ):
+            return None
         best: tuple[float, str, Machine, list[Attempt]] | None = None
         for loss, machine, stops in self._openings(work, self._suited(work, self.lots)):
             if machine.zone in zones and (best is None or (loss, machine.name) < best[:2]):
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -234,6 +234,7 @@
             if self.shared:
                 work.lease(self.sharing.of(ref))
             work.bid = self.market.first_bid(work, now)
+            work.promised = work.job.gang or self.market.promised(work, now)
             lane = self.lanes.setdefault(work.job.lane, Lane(work.job))
             lane.last = work.job
             lane.seen.append((now - age, work.job.image))
--- a/basaltlead/renting.py
+++ b/basaltlead/renting.py
@@ -154,7 +154,7 @@
                 self._start_hire(offer, count)
             for machine in block.machines.values():
                 machine.wanted = machine.name in plan.needed
-            self.market.share(block)
+            self.market.share(block, now)
             self.owner.wake.set()
             self._give_back(plan.needed, now)
             took = now_us() - now
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -1,5 +1,7 @@
 """The owner of a block against single messages: order, lateness, doubt. Each is a guard."""
 
+import pytest
+
 from basaltlead.core.block import Block
 from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Work
 from basaltlead.core.picture import Limits, Timing
@@ -575,3 +577,35 @@
     foreign = Listed("req-000009/0", 3, "running")
     assert story.beat("m-0", foreign) == [("halt", "req-000009/0")]
     assert not story.block.settled(machine)
+
+
+def test_promised_work_takes_its_share_back_from_saved_work_that_nobody_was_promised() -> None:
+    story = Story()
+    story.block.machines["m-0"].images["img"] = 1.0
+    low = story.submit(1, tasks=4, rank=0, mark_every_us=5 * US, mark_s=2.0)
+    low.promised = False
+    attempts = list(low.live.values())
+    story.beat("m-0")
+    story.beat("m-0", *(listed(a, "running") for a in attempts))
+    work = story.block.add_job(a_job(2, tasks=3, rank=1, due_us=100 * US), 200, story.now)
+    work.slots, low.slots = 2, 2
+    plan(story.block, story.now)
+    assert len(work.live) == 2  # its share, and no more
+    assert sorted(a.grace for a in attempts if a.grace is not None) == [2.0, 2.0]
+
+
+@pytest.mark.parametrize("what", ["unsaved", "promised", "same rank", "no promise", "no share"])
+def test_ordinary_work_displaces_nothing_else(what: str) -> None:
+    story = Story()
+    saves = {} if what == "unsaved" else {"mark_every_us": 5 * US, "mark_s": 2.0}
+    low = story.submit(1, tasks=4, rank=1 if what == "same rank" else 0, **saves)
+    low.promised = what == "promised"
+    attempts = list(low.live.values())
+    story.beat("m-0")
+    story.beat("m-0", *(listed(a, "running") for a in attempts))
+    work = story.block.add_job(a_job(2, tasks=3, rank=1, due_us=100 * US), 200, story.now)
+    work.promised = what != "no promise"
+    work.slots, low.slots = 0 if what == "no share" else 2, 2
+    plan(story.block, story.now)
+    assert not work.live
+    assert all(a.grace is None for a in attempts)
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -2,7 +2,7 @@
 
 from basaltlead.core.block import Block
 from basaltlead.core.market import Market, Promises, Terms
-from basaltlead.core.model import US, Job, Work
+from basaltlead.core.model import US, Job, Kind, Machine, Work
 from basaltlead.core.picture import Limits, Timing
 from basaltlead.settings import Objective
 from tests.test_block import a_job
@@ -48,3 +48,52 @@
     for second in range(10, 160, 10):
         market.round(block, second * US)
     assert hasty.bid > late.bid > 0
+
+
+def _machine_up(block: Block, cpus: float) -> None:
+    kind = Kind("k", cpus, 0.0, 1000.0, 1.0, 0.5, 5 * US, 50.0, 1.0, ("a",))
+    machine = Machine("m-0", kind, "a", False, 0)
+    machine.up = True
+    block.add_machine(machine)
+
+
+def test_what_keeps_promises_is_given_out_before_the_rest_is_shared() -> None:
+    """A guest team with a full budget once outbid a team that had spent its own on deadlines."""
+    market = Market(TERMS, ["red", "guests"], Promises())
+    block = Block(1, 1, 0, Timing(10 * US, US), {"red": Limits(), "guests": Limits()})
+    _machine_up(block, 100.0)
+    dated = block.add_job(a_job(1, tasks=90, due_us=200 * US), 1, 0)
+    guest = block.add_job(a_job(2, tasks=400, team="guests"), 1, 0)
+    dated.need, guest.need = 60, 400
+    dated.bid, guest.bid = 0.01, 500.0
+    market.share(block, 0)
+    assert (dated.slots, guest.slots) == (60, 40)
+    dated.need = 90  # however much they need, something is left for the others
+    market.share(block, 0)
+    assert (dated.slots, guest.slots) == (75, 25)
+    dated.need = 0
+    market.share(block, 0)
+    assert (dated.slots, guest.slots) == (0, 100)
+
+
+def test_teams_share_by_their_bids_what_nobody_was_promised() -> None:
+    market = Market(TERMS, ["red", "guests"], Promises())
+    block = Block(1, 1, 0, Timing(10 * US, US), {"red": Limits(), "guests": Limits()})
+    _machine_up(block, 100.0)
+    late = block.add_job(a_job(1, tasks=90, due_us=200 * US), 1, 0)
+    guest = block.add_job(a_job(2, tasks=400, team="guests"), 1, 0)
+    late.bid, guest.bid = 3.0, 1.0
+    market.share(block, 300 * US)
+    assert (late.slots, guest.slots) == (75, 25)
+
+
+def test_within_a_team_the_job_nearest_to_its_end_comes_first_and_all_begin() -> None:
+    market = Market(TERMS, ["guests"], Promises())
+    block = Block(1, 1, 0, Timing(10 * US, US), {"guests": Limits()})
+    _machine_up(block, 100.0)
+    works = [
+        block.add_job(a_job(number, tasks=tasks, team="guests"), 1, 0)
+        for number, tasks in ((1, 80), (2, 60), (3, 90))
+    ]
+    market.share(block, 0)
+    assert [work.slots for work in works] == [39, 60, 1]
