The story of a team at its limit brings that about before its second job comes

With two jobs submitted at once, the shorter one now gets a slot of its team's share from the start, so the first never held the whole limit and the premise of the story was not met: it waited for 8 tasks of the first job until the second was over. The second job now comes when the first holds the limit, and is asserted to wait; all later assertions stand as they were.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -275,8 +275,10 @@
         world = World(loop, limits={"red": 8})
         await world.start()
         await world.submit(world.job(1, Pieces=8, RunS=100.0))
-        await world.submit(world.job(2, Pieces=8, RunS=5.0))
         await world.until(lambda: len(world.on("req-000001")) == 8)
+        await world.submit(world.job(2, Pieces=8, RunS=5.0))  # no room: the team is at its limit
+        await _watch(world, 2)
+        assert world.on("req-000002") == []
         owner = world.owner()
         assert owner is not None
         silent = _holders(world, "req-000001")[0]
