--- a/basaltlead/renting.py
+++ b/basaltlead/autoscaler.py
@@ -4,10 +4,10 @@
 
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.cloud import Cloud, NoCapacity
-from basaltlead.clients.state import TROUBLE, Conflict, NoHold
+from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired
 from basaltlead.clock import age_us, now_us, wall_us
 from basaltlead.core import demand, fleet
-from basaltlead.core.fleet import Need, Offer, Shop, Spare
+from basaltlead.core.fleet import Demand, Offer, OfferBook, WarmSpare
 from basaltlead.core.market import Market
 from basaltlead.core.model import US, Machine
 from basaltlead.logs import log
@@ -18,32 +18,33 @@
 from basaltlead.wire.cloud import Hire, Rented
 from basaltlead.wire.state import Drop, Guard, Put
 
+MOST_HIRED_AT_ONCE = 12  # machines that one pass asks for
 MOST_HIRING = 6  # hires in progress
 SIZING_SHARE = 15  # sizing the fleet leaves that many times what it takes to everything else
 MOST_NAMES = 100  # the cloud deletes that many at once
-DARK_COUNT = 3  # machines that must be silent before their zone is in doubt
-DARK_US = 45 * US  # for how long nothing is hired there after the last of them was returned
+SILENT_ZONE_COUNT = 3  # machines that must be silent before their zone is in doubt
+SILENT_ZONE_US = 45 * US  # for how long nothing is hired there after the last of them was returned
 BLIND_LEASES = 4  # after so long of hearing nobody we believe that they are gone
 ANSWER_US = 4 * US  # for how long a worker waits for an answer; it tries others a second apart
-DEAF_US = 4 * US  # a machine that has not heard us for so long is no capacity
+UNREACHABLE_US = 4 * US  # a machine that has not heard us for so long is no capacity
 MINIMUM_US = 60 * US  # what a machine costs at least
 
 
-class Renting:
+class Autoscaler:
     """Runs beside an Owner and ends with it."""
 
     def __init__(
-        self, settings: Settings, cloud: Cloud, owner: Owner, market: Market, shop: Shop
+        self, settings: Settings, cloud: Cloud, owner: Owner, market: Market, offer_book: OfferBook
     ) -> None:
         self.settings = settings
         self.cloud = cloud
         self.owner = owner
         self.market = market
-        self.shop = shop
+        self.offer_book = offer_book
         self.sequence = 0
         self.pending: dict[str, list[Machine]] = {}  # hires without an answer so far
         self.silent_at = now_us()  # when nobody was heard
-        self.dark: dict[str, int] = {}  # zones of which nothing is heard, to be avoided until when
+        self.unreachable_zones: dict[str, int] = {}  # until when to avoid them
 
     def start(self) -> None:
         for name, stored in list(self.owner.hires.items()):
@@ -60,12 +61,10 @@
 
     # What is wanted
 
-    def needs(self, now: int) -> list[Need]:
+    def needs(self, now: int) -> list[Demand]:
         block = self.owner.block
         works = [
-            w
-            for w in block.works.values()
-            if not w.closed and not w.complete and now >= w.hold_until
+            w for w in block.works.values() if not w.closed and not w.complete and now >= w.retry_at
         ]
         loads = demand.loads_of(works, now, block.guess_us)
         wanted = demand.counts(works, now, self.market.due, block.guess_us, self._lead_us(), loads)
@@ -74,7 +73,7 @@
         out = []
         for work in sorted(works, key=lambda w: (-w.job.rank, w.asked_at)):
             work.need = wanted[work.job.ref]
-            need = Need(work, work.need)
+            need = Demand(work, work.need)
             if not work.job.gang:
                 need.drain_us = rented.drain_us(work.job, backlog)
             out.append(need)
@@ -83,11 +82,11 @@
     def _lead_us(self) -> int:
         return min((kind.boot_us for kind in self.owner.kinds.values()), default=0)
 
-    def spares(self, now: int) -> list[Spare]:
+    def spares(self, now: int) -> list[WarmSpare]:
         """Room for jobs whose class is promised a start sooner than a machine boots."""
         out = []
-        for lane, (within, *_) in self.market.promises.starts.items():
-            seen = self.owner.lanes.get(lane)
+        for job_class, (within, *_) in self.market.promises.starts.items():
+            seen = self.owner.job_classes.get(job_class)
             if seen is None:
                 continue
             job = seen.last
@@ -102,7 +101,7 @@
             recent = [image for at, image in seen.seen if now - at < window]
             if recent:
                 expected = len(recent) * boot / window
-                out.append(Spare(job, max(1, round(expected)), frozenset(recent)))
+                out.append(WarmSpare(job, max(1, round(expected)), frozenset(recent)))
         return out
 
     def expected(self, now: int) -> list[Machine]:
@@ -112,13 +111,13 @@
         return out + [
             m
             for m in machines
-            if not m.lost and not self._overdue(m, now) and not self._deaf(m, now)
+            if not m.lost and not self._overdue(m, now) and not self._unreachable(m, now)
         ]
 
     @staticmethod
-    def _deaf(machine: Machine, now: int) -> bool:
+    def _unreachable(machine: Machine, now: int) -> bool:
         """Have our orders not reached it for a while, although its reports reach us?"""
-        return bool(machine.deaf_since) and now - machine.deaf_since > DEAF_US
+        return bool(machine.unreachable_since) and now - machine.unreachable_since > UNREACHABLE_US
 
     @staticmethod
     def _overdue(machine: Machine, now: int) -> bool:
@@ -139,13 +138,14 @@
             needs = self.needs(now)
             run_us = {n.work.job.ref: block.guess_us(n.work) for n in needs}
             room = MOST_HIRING - len(self.pending)
-            self._look_for_dark_zones(now)
-            offers = self.shop.offers(self.owner.kinds.values(), self._held(), now)
+            self._find_unreachable_zones(now)
+            offers = self.offer_book.offers(self.owner.kinds.values(), self._held(), now)
             if self._blind(now):
                 offers = {}
             plan = fleet.size(
                 needs, self.spares(now), self.expected(now), self.owner.kinds,
-                {o: n for o, n in offers.items() if o.zone not in self.dark}, run_us, 12,
+                {o: n for o, n in offers.items() if o.zone not in self.unreachable_zones},
+                run_us, MOST_HIRED_AT_ONCE,
             )  # fmt: skip
             grouped: dict[Offer, int] = {}
             for offer in plan.hires:
@@ -164,10 +164,10 @@
         likely our own trouble than theirs, and we would not hear of new ones either."""
         lease = self.owner.block.timing.lease_us
         heard = [m.heard_at for m in self.owner.block.machines.values() if m.up and m.heard_at]
-        silent = len(heard) >= DARK_COUNT and not self._anybody_heard(now)
+        silent = len(heard) >= SILENT_ZONE_COUNT and not self._anybody_heard(now)
         return silent and now - max(heard) < BLIND_LEASES * lease
 
-    def _look_for_dark_zones(self, now: int) -> None:
+    def _find_unreachable_zones(self, now: int) -> None:
         """Nothing is hired in a zone whose machines have all fallen silent while others are
         heard: it is cut off, and what boots there can't reach us either."""
         seen: dict[str, list[bool]] = {}
@@ -175,16 +175,18 @@
             if machine.up and machine.heard_at:
                 heard = not machine.lost and self._heard(machine, now)
                 seen.setdefault(machine.zone, []).append(heard)
-        self.dark = {zone: until for zone, until in self.dark.items() if now < until}
+        self.unreachable_zones = {
+            zone: until for zone, until in self.unreachable_zones.items() if now < until
+        }
         if not any(map(any, seen.values())):
             return
         for zone, machines in seen.items():
             if any(machines):
-                self.dark.pop(zone, None)
-            elif len(machines) >= DARK_COUNT:
-                if zone not in self.dark:
+                self.unreachable_zones.pop(zone, None)
+            elif len(machines) >= SILENT_ZONE_COUNT:
+                if zone not in self.unreachable_zones:
                     log.info("nothing is heard from %s, no hires there", zone)
-                self.dark[zone] = now + DARK_US
+                self.unreachable_zones[zone] = now + SILENT_ZONE_US
 
     def _give_back(self, needed: set[str], now: int) -> None:
         share = self.settings.operator.idle_share
@@ -204,15 +206,17 @@
                 and now - machine.made_at > MINIMUM_US - 5 * US
             )  # fmt: skip
             faulty = machine.draining and settled
-            since = max(machine.deaf_since, machine.back_at)
-            deaf = bool(machine.deaf_since) and now - since > 2 * timing.lapse_us
+            since = max(machine.unreachable_since, machine.back_at)
+            unreachable = (
+                bool(machine.unreachable_since) and now - since > 2 * timing.lease_expiry_us
+            )
             # Everything silent at once is more likely our own trouble than theirs.
             lost = machine.lost and others_heard
-            if overdue or idle or faulty or lost or deaf:
+            if overdue or idle or faulty or lost or unreachable:
                 machine.deleting = True
                 log.info(
                     "returning %s: %s", machine.name,
-                    "never came up" if overdue else "lost" if lost else "deaf" if deaf
+                    "never came up" if overdue else "lost" if lost else "unreachable" if unreachable
                     else "faulty" if faulty else "idle",
                 )  # fmt: skip
 
@@ -253,7 +257,7 @@
 
     def _start_hire(self, offer: Offer, count: int) -> None:
         self.sequence += 1
-        name = f"h-{self.owner.grant.baton}-{self.sequence}"
+        name = f"h-{self.owner.grant.fencing_token}-{self.sequence}"
         stored = StoredHire(
             offer.kind, offer.zone, offer.spot, min(count, 50), wall_us(), None, self.owner.number
         )
@@ -275,7 +279,7 @@
             if fresh:
                 # Guarded on there being none: a name is never used again.
                 guards = [*owner.guards(), Guard(HIRE + name, 0)]
-                owner.stamps[HIRE + name] = await owner.state.multi(
+                owner.versions[HIRE + name] = await owner.state.multi(
                     guards, [Put(HIRE + name, stored)]
                 )
             owner.hires[name] = stored
@@ -288,7 +292,7 @@
                     names = await self.cloud.hire(request, self._acts)
                     break
                 except NoCapacity:
-                    self.shop.refused(offer, self._held().get(offer, 0), now_us())
+                    self.offer_book.refused(offer, self._held().get(offer, 0), now_us())
                     log.info("no capacity: %s in %s%s", stored.kind, stored.zone,
                              " (spot)" if stored.spot else "")  # fmt: skip
                     await self._settle(name, None)
@@ -300,7 +304,7 @@
             stored.names = names
             self._expect(stored, names)
             if len(names) < stored.number:
-                self.shop.refused(offer, self._held().get(offer, 0), now_us())
+                self.offer_book.refused(offer, self._held().get(offer, 0), now_us())
             await self._settle(name, stored)
         except TROUBLE as fault:
             log.info("hire %s not recorded: %s", name, fault)
@@ -314,7 +318,7 @@
         change = Drop(HIRE + name) if stored is None else Put(HIRE + name, stored)
         if stored is None:
             owner.hires.pop(name, None)
-        guard = Guard(HIRE + name, owner.stamps.pop(HIRE + name, 0))
+        guard = Guard(HIRE + name, owner.versions.pop(HIRE + name, 0))
         backoff = Backoff(200_000, 4_000_000, owner.member.chance)
         for _ in range(8):
             try:
@@ -414,7 +418,7 @@
             now = now_us()
             dropped = [n for n in names if block.machines[n].recorded]
             for name in names:
-                self.owner.reach.workers.forget(block.machines[name].address)
+                self.owner.dispatcher.workers.forget(block.machines[name].address)
                 block.drop_machine(name, now)
             self.owner.wake.set()
             for low in range(0, len(dropped), self.settings.facts.state.txn_ops):
@@ -428,5 +432,5 @@
                 return
             except (Failed, Unavailable):
                 await asyncio.sleep(0.5)
-            except (Conflict, NoHold):
+            except (Conflict, SessionLeaseExpired):
                 return
--- a/basaltlead/clients/state.py
+++ b/basaltlead/clients/state.py
@@ -8,7 +8,17 @@
 
 from basaltlead.clients.base import Budget, Unavailable, decode, encode
 from basaltlead.net.http import Failed, Pool
-from basaltlead.wire.state import Changes, Drop, Guard, Hold, Outcome, Put, Row, Rows, Transaction
+from basaltlead.wire.state import (
+    Changes,
+    Drop,
+    Guard,
+    Outcome,
+    Put,
+    Row,
+    Rows,
+    SessionLease,
+    Transaction,
+)
 
 PAGE = 500
 
@@ -21,8 +31,8 @@
         self.failed = list(failed)
 
 
-class NoHold(Exception):
-    """The hold has ended."""
+class SessionLeaseExpired(Exception):
+    """The session lease has ended."""
 
 
 class TooOld(Exception):
@@ -30,19 +40,19 @@
 
 
 # What a call may end in, short of an answer.
-TROUBLE = (Failed, Unavailable, Conflict, NoHold)
+TROUBLE = (Failed, Unavailable, Conflict, SessionLeaseExpired)
 
 
 class State:
     """Calls with a deadline each, inside this node's part of the limits.
 
-    Touches of the hold pass the budget by: they must never wait behind other requests.
+    Renewals of the session lease pass the budget by: they must never wait behind other requests.
     """
 
     def __init__(self, address: str, rps: float, write_rps: float, nodes: int, owners: int) -> None:
         self.pool = Pool(address, limit=24)
         self.watches = Pool(address, limit=8)
-        self.touches = Pool(address, limit=4)
+        self.renewals = Pool(address, limit=4)
         self.requests = Budget(max(1.0, rps * 0.8 / nodes))
         # Owners store results; all others only what users ask for now and then.
         rate = write_rps * 0.85 * (0.6 if owners == 1 else 1 / owners)
@@ -96,7 +106,8 @@
     async def multi(
         self, guards: list[Guard], apply: Sequence[Put | Drop], can_wait: bool = False
     ) -> int:
-        """One transaction; its revision. Conflict, NoHold, Unavailable, or Failed if unknown.
+        """One transaction; its revision. Raises Conflict, SessionLeaseExpired or Unavailable, and
+        Failed if it may have been executed.
 
         Bookkeeping can wait: with hundreds of machines it alone would fill the limit on writes,
         and users' submissions and cancellations go first."""
@@ -108,7 +119,7 @@
         if status == 409:
             raise Conflict(decode(body, Outcome).failed)
         if status == 400 and b"no such lease" in body:
-            raise NoHold
+            raise SessionLeaseExpired
         raise Failed(f"multi: {status} {body[:200]!r}", sent=True)
 
     async def changes(self, prefix: str, since: int, hold_ms: int) -> Changes:
@@ -126,20 +137,20 @@
             raise Failed(f"changes: {status}", sent=True)
         return decode(body, Changes)
 
-    async def hold(self, ttl_us: int) -> int:
+    async def create_lease(self, ttl_us: int) -> int:
         status, body = self._checked(
-            await self.touches.request("POST", "/holds", encode({"TtlMs": ttl_us // 1000}))
+            await self.renewals.request("POST", "/holds", encode({"TtlMs": ttl_us // 1000}))
         )
         if status not in (200, 201):
-            raise Failed(f"hold: {status}", sent=True)
-        return decode(body, Hold).hold
+            raise Failed(f"session lease: {status}", sent=True)
+        return decode(body, SessionLease).session_lease
 
-    async def touch(self, hold: int, timeout_us: int) -> None:
+    async def renew_lease(self, session_lease: int, timeout_us: int) -> None:
         status, _ = self._checked(
-            await self.touches.request("POST", f"/holds/{hold}/touch", b"", timeout_us)
+            await self.renewals.request("POST", f"/holds/{session_lease}/touch", b"", timeout_us)
         )
         if status == 404:
-            raise NoHold
+            raise SessionLeaseExpired
         if status != 200:
             raise Failed(f"touch: {status}", sent=True)
 
--- a/basaltlead/clock.py
+++ b/basaltlead/clock.py
@@ -11,7 +11,7 @@
 
 
 def now_us() -> int:
-    """The steady clock: for spans and rights."""
+    """The steady clock: for spans and leases."""
     return _steady() // 1000
 
 
--- a/basaltlead/core/bidding.py
+++ b/basaltlead/core/bidding.py
@@ -21,7 +21,7 @@
 
 
 @dataclass
-class Trend:
+class BidDirection:
     """Which way a bid has been moving, and for how many rounds."""
 
     direction: int = 0
@@ -29,7 +29,7 @@
 
 
 def vertical(
-    bid: float, value: float, wanted: float, trend: Trend,
+    bid: float, value: float, wanted: float, trend: BidDirection,
     low: float, high: float, threshold: float = 0.05,
 ) -> float:  # fmt: skip
     """The next bid: up while the measured value is below the wanted one, else down.
--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
+from basaltlead.core.block_state import BlockState, Message
 from basaltlead.core.model import US, Attempt, Machine, Work
-from basaltlead.core.picture import Message, Picture
 
 SLOW_TIMES = 6  # a machine is slow if a task takes that many times what others took
 MOST_GIVEN_UP = 4  # tasks of one job that are taken off slow machines
@@ -15,7 +15,7 @@
 MAX_ORDERS = 250  # in one message: keeps a line far below 64 KiB
 
 
-class Wish(Struct):
+class TaskCommand(Struct):
     """An order for a worker."""
 
     verb: str
@@ -25,32 +25,34 @@
     grace_s: float | None = None
 
 
-class Block(Picture):
+class Block(BlockState):
     """Takes in reports and gives orders."""
 
     # Reports
 
-    def beat(self, report: Message, now: int) -> list[Wish] | None:
+    def beat(self, report: Message, now: int) -> list[TaskCommand] | None:
         """A report; the orders for its answer, or None when it must not be answered with 200.
 
-        A report that does not show our baton may be a copy from long ago, or come from a machine
-        that our answers don't reach. It is answered, so that a live machine can show it next
-        time, but for one lease at most: after that the silence ends the machine's own lease, and
-        nothing waits for it any longer.
+        A report that does not show our fencing token may be a copy from long ago, or come from a
+        machine that our answers don't reach. It is answered, so that a live machine can show it
+        next time, but for one lease at most: after that the silence ends the machine's own lease,
+        and nothing waits for it any longer.
         """
         machine = self.machines.get(report.machine)
-        if machine is None or report.baton > self.baton:
+        if machine is None or report.fencing_token > self.fencing_token:
             return None
         if report.session < machine.min_session:
             return None
         if (report.session, report.tick) <= (machine.session, machine.beat_tick):
             return []  # a late copy
-        if report.baton < self.baton:
+        if report.fencing_token < self.fencing_token:
             machine.asked_at = machine.asked_at or now
             if now - machine.asked_at > self.timing.lease_us:
                 return None
             if machine.lost:
-                return self.unwanted(report)  # only what shows our baton proves that it is back
+                return self.unwanted(
+                    report
+                )  # only what shows our fencing token proves that it is back
         if report.session > machine.session:
             self._new_session(machine, report.session, now)
         machine.beat_tick = report.tick
@@ -65,28 +67,33 @@
             machine.recall_at = recall_at
         elif newest:
             machine.recall_at = None
-        if report.baton == self.baton:
+        if report.fencing_token == self.fencing_token:
             if machine.asked_at:  # it did not show it before
                 machine.asked_at = 0
-                self.hears(machine)
-            if now - max(machine.session_at, machine.deaf_since) > self.timing.lapse_us:
-                self.hears(machine)  # else its lease, and with it its session, had ended
+                self.confirm_reachable(machine)
+            if (
+                now - max(machine.session_at, machine.unreachable_since)
+                > self.timing.lease_expiry_us
+            ):
+                self.confirm_reachable(
+                    machine
+                )  # else its lease, and with it its session, had ended
             self._apply(machine, report, now, newest=newest, settles=True)
             machine.tick = max(machine.tick, report.tick)
         self._drain(machine, now)
         machine.answered_at = now
         return self.orders(machine, now) if machine.synced else self.unwanted(report)
 
-    def unwanted(self, report: Message) -> list[Wish]:
+    def unwanted(self, report: Message) -> list[TaskCommand]:
         """Halts for tasks of jobs that are over, on a machine of which we have no picture so far.
         The answer renews its lease, and it may be the last one that it gets: an order that
         waited for the next would come too late for a cancellation from long before us."""
-        out: list[Wish] = []
+        out: list[TaskCommand] = []
         for seen in report.tasks:
             ref, _, number = seen.task.rpartition("/")
             work = self.works.get(ref)
             if seen.stage != "ended" and (work is None or work.closed):
-                out.append(Wish("halt", ref, int(number), seen.token, 0.0))
+                out.append(TaskCommand("halt", ref, int(number), seen.token, 0.0))
         return out[:MAX_ORDERS]
 
     def answer(self, report: Message, now: int, flown: Iterable[Attempt] = ()) -> None:
@@ -101,59 +108,59 @@
             self._new_session(machine, report.session, now)
         if report.session < machine.session:
             return
-        self.hears(machine)
+        self.confirm_reachable(machine)
         if report.tick <= machine.tick:
             return
-        if report.baton == self.baton:
+        if report.fencing_token == self.fencing_token:
             self._apply(machine, report, now, newest=True, settles=False)
             machine.tick = report.tick
 
     # Orders
 
-    def orders(self, machine: Machine, now: int) -> list[Wish]:
+    def orders(self, machine: Machine, now: int) -> list[TaskCommand]:
         """What the machine must be told, given what it last reported."""
         if not machine.synced or machine.deleting:
             return []
-        out: list[Wish] = []
-        for (ref, index, token), rest in machine.rest.items():
+        out: list[TaskCommand] = []
+        for (ref, index, token), rest in machine.listed_attempts.items():
             if not rest.over:
-                out.append(Wish("halt", ref, index, token, 0.0))
+                out.append(TaskCommand("halt", ref, index, token, 0.0))
             elif not rest.loose and (rest.forgettable or self._kept(ref, index)):
-                out.append(Wish("forget", ref, index, token))
+                out.append(TaskCommand("forget", ref, index, token))
             if len(out) >= MAX_ORDERS:
                 break  # the others go with the next answer
         for attempt in list(machine.attempts.values()):
             if attempt.grace is not None:
                 if attempt.stage == "sent" and attempt.loose:
-                    out.append(self._wish("run", attempt, None))
+                    out.append(self._task_command("run", attempt, None))
                 if attempt.stage == "saving" and attempt.grace > 0:
                     continue
                 if attempt.stage != "sent" or attempt.loose:
-                    out.append(self._wish("halt", attempt, attempt.grace))
+                    out.append(self._task_command("halt", attempt, attempt.grace))
         for attempt in self.startable(machine, now):
             attempt.stage = "sent"
             attempt.sent_tick = machine.beat_tick
-            out.append(self._wish("run", attempt, None))
+            out.append(self._task_command("run", attempt, None))
         return out[:MAX_ORDERS]
 
-    def direct(self, machine: Machine, now: int) -> tuple[list[Wish], list[Attempt]]:
+    def direct(self, machine: Machine, now: int) -> tuple[list[TaskCommand], list[Attempt]]:
         """Orders worth sending at once, and the starts among them. A start that is on its way
         directly is in no report's answer, and bound to its machine until it is settled."""
         if not machine.synced or machine.deleting or machine.lost or not machine.address:
             return [], []
-        out: list[Wish] = []
+        out: list[TaskCommand] = []
         for attempt in machine.attempts.values():
             if attempt.grace is None or attempt.told == attempt.grace or attempt.stage in (
                 "planned", "sent",
             ):  # fmt: skip
                 continue
             attempt.told = attempt.grace
-            out.append(self._wish("halt", attempt, attempt.grace))
+            out.append(self._task_command("halt", attempt, attempt.grace))
         flown = [a for a in self.startable(machine, now) if a.stage == "planned"]
         for attempt in flown:
             attempt.stage = "sent"
             attempt.flying = True
-            out.append(self._wish("run", attempt, None))
+            out.append(self._task_command("run", attempt, None))
         return out, flown
 
     def presses(self, machine: Machine) -> bool:
@@ -193,8 +200,8 @@
         return out
 
     @staticmethod
-    def _wish(verb: str, attempt: Attempt, grace_s: float | None) -> Wish:
-        return Wish(verb, attempt.work.job.ref, attempt.index, attempt.token, grace_s)
+    def _task_command(verb: str, attempt: Attempt, grace_s: float | None) -> TaskCommand:
+        return TaskCommand(verb, attempt.work.job.ref, attempt.index, attempt.token, grace_s)
 
     def _kept(self, ref: str, index: int) -> bool:
         """Is the result stored? Results of jobs that are over need none."""
@@ -209,7 +216,7 @@
         for the machine."""
         return not machine.attempts and all(
             rest.over and (rest.forgettable or self._kept(ref, index))
-            for (ref, index, _), rest in machine.rest.items()
+            for (ref, index, _), rest in machine.listed_attempts.items()
         )
 
     # Time
@@ -218,13 +225,13 @@
         """What changes by the mere passing of time."""
         for machine in list(self.machines.values()):
             since = max(machine.answered_at, self.took_at)
-            if not machine.lost and now - since > self.timing.lapse_us:
-                if machine.up or machine.name in self.risky:
+            if not machine.lost and now - since > self.timing.lease_expiry_us:
+                if machine.up or machine.name in self.unsynced:
                     self._lose(machine, now)
             else:
                 self._drain(machine, now)
-        if now >= self.looked_at + US:
-            self.looked_at = now
+        if now >= self.slow_checked_at + US:
+            self.slow_checked_at = now
             for work in list(self.works.values()):
                 if work.live and not work.closed:
                     self._give_up_slow(work, now)
@@ -243,7 +250,7 @@
             if attempt.stage != "running" or attempt.grace is not None or not attempt.ran_at:
                 continue
             machine = attempt.machine
-            if now - attempt.ran_at > limit and not machine.deaf_since and not machine.lost:
+            if now - attempt.ran_at > limit and not machine.unreachable_since and not machine.lost:
                 work.given_up += 1
                 work.failed_on[machine.name] = now + AVOID_US
                 machine.slow.add(work.job.ref)
--- a/basaltlead/core/picture.py
+++ b/basaltlead/core/block_state.py
@@ -1,7 +1,7 @@
-"""A block's owner's picture: which tasks are bound to which machines, and what the workers report.
+"""The observed state of a block: which tasks are bound to which machines, by the workers' reports.
 
-The picture of a machine is trusted only from reports that show our baton: the worker then drops
-every order of an earlier owner, so its list is complete but for our own orders.
+The list of a machine's tasks is trusted only from reports that show our fencing token: the worker
+then drops every command of an earlier owner, so its list is complete but for our own commands.
 """
 
 from collections.abc import Callable, Iterable
@@ -9,9 +9,9 @@
 
 from msgspec import Struct
 
-from basaltlead.core.model import US, Attempt, Job, Machine, Rest, Work
+from basaltlead.core.model import US, Attempt, Job, ListedAttempt, Machine, Work
 
-TOKEN_BITS = 24  # attempts an owner can start under one baton: 16 million
+TOKEN_BITS = 24  # attempts an owner can start under one fencing token: 16 million
 
 
 class Timing(Struct, frozen=True):
@@ -21,7 +21,7 @@
     report_us: int
 
     @property
-    def lapse_us(self) -> int:
+    def lease_expiry_us(self) -> int:
         """After this long without an answer of ours a worker's lease is over for sure: the
         lease, the drift of both clocks, and a margin for the resolution of timers."""
         return self.lease_us + self.lease_us // 500 + 250_000
@@ -57,41 +57,41 @@
     address: str
     session: int
     tick: int
-    baton: int
+    fencing_token: int
     recall_s: float | None
     tasks: list  # type: ignore[type-arg]
 
 
-class Picture:
+class BlockState:
     """Jobs, attempts and machines of a block, and what reports say of them."""
 
     def __init__(
-        self, baton: int, stamp: int, now: int, timing: Timing, teams: dict[str, Limits]
+        self, fencing_token: int, version: int, now: int, timing: Timing, teams: dict[str, Limits]
     ) -> None:
-        self.baton = baton
-        self.stamp = stamp  # of the grant: jobs accepted later were never started by others
+        self.fencing_token = fencing_token
+        self.version = version  # of the grant: jobs accepted later were never started by others
         self.took_at = now
         self.timing = timing
         self.teams = teams
         self.sequence = 0
         self.machines: dict[str, Machine] = {}
-        self.risky: set[str] = set()  # machines that may hold tasks we do not know of
+        self.unsynced: set[str] = set()  # machines that may hold tasks we do not know of
         # Machines that may have orders which need not wait for a report, in the order of coming.
         self.urgent: dict[str, None] = {}
         self.works: dict[str, Work] = {}
         self.team_used: dict[str, list[float]] = {}
         self.ratio: dict[str, float] = {}  # measured run time over the guess, by class
-        self.looked_at = 0  # when slow tasks were last looked for
+        self.slow_checked_at = 0  # when slow tasks were last looked for
         self.dirty = True
         self.gone: dict[str, None] = {}  # names of machines that are deleted (bounded)
         self.log: Callable[[str], None] = lambda text: None
 
     # Jobs
 
-    def add_job(self, job: Job, stamp: int, now: int, age_us: int = 0) -> Work:
+    def add_job(self, job: Job, version: int, now: int, age_us: int = 0) -> Work:
         work = self.works.get(job.ref)
         if work is None:
-            work = self.works[job.ref] = Work(job, stamp, now, age_us)
+            work = self.works[job.ref] = Work(job, version, now, age_us)
             self.dirty = True
         return work
 
@@ -102,7 +102,7 @@
             return
         work.closed = True
         if not work.complete:
-            self._acquit(work)  # it never showed that it can run
+            self._clear_failures(work)  # it never showed that it can run
         for attempt in list(work.live.values()):
             self.stop(attempt, 0.0)
         self._prune(work)
@@ -183,7 +183,7 @@
         """One that the state service lists as in use when we take the block."""
         machine.recorded = True
         self.machines[machine.name] = machine
-        self.risky.add(machine.name)
+        self.unsynced.add(machine.name)
 
     def add_machine(self, machine: Machine) -> None:
         """One that can't hold any task yet."""
@@ -209,8 +209,8 @@
     def _empty(self, machine: Machine, now: int) -> None:
         for attempt in list(machine.attempts.values()):
             self._remove(attempt, now)
-        machine.rest.clear()
-        self.risky.discard(machine.name)
+        machine.listed_attempts.clear()
+        self.unsynced.discard(machine.name)
         self.urgent.pop(machine.name, None)
         self.dirty = True
 
@@ -219,7 +219,7 @@
         were held up on their way prove nothing any more."""
         machine.lost = True
         machine.synced = False
-        self.doubt(machine, now)
+        self.suspect(machine, now)
         machine.asked_at = 0
         machine.min_session = machine.session + 1 if machine.session else 0
         machine.images.clear()
@@ -229,22 +229,24 @@
     @property
     def strangers(self) -> bool:
         """Is there, or may there be, a task on some machine that we do not account for?"""
-        return bool(self.risky) or any(
-            not rest.over for machine in self.machines.values() for rest in machine.rest.values()
+        return bool(self.unsynced) or any(
+            not rest.over
+            for machine in self.machines.values()
+            for rest in machine.listed_attempts.values()
         )
 
     # Reports
 
-    def hears(self, machine: Machine) -> None:
+    def confirm_reachable(self, machine: Machine) -> None:
         """Something proves that our orders reach it."""
-        if machine.deaf_since:
-            machine.deaf_since = 0
+        if machine.unreachable_since:
+            machine.unreachable_since = 0
             self.dirty = True
 
-    def doubt(self, machine: Machine, now: int) -> None:
+    def suspect(self, machine: Machine, now: int) -> None:
         """An order went unanswered, or its lease ran out although we answered: until something
         proves that it hears us, nothing new is given to it, and nobody counts on it."""
-        machine.deaf_since = machine.deaf_since or now
+        machine.unreachable_since = machine.unreachable_since or now
 
     def _new_session(self, machine: Machine, session: int, now: int) -> None:
         known = machine.session
@@ -253,9 +255,9 @@
             for attempt in list(machine.attempts.values()):
                 if attempt.there or attempt.flying:
                     self._remove(attempt, now)
-            machine.rest.clear()
+            machine.listed_attempts.clear()
             machine.images.clear()
-            self.doubt(machine, now)
+            self.suspect(machine, now)
         if machine.lost:
             machine.back_at = now
         machine.session = session
@@ -269,7 +271,7 @@
     def _apply(
         self, machine: Machine, report: Message, now: int, newest: bool, settles: bool
     ) -> None:
-        """Take in a list of tasks from a report that shows our baton."""
+        """Take in a list of tasks from a report that shows our fencing token."""
         listed: set[tuple[str, int, int]] = set()
         for seen in report.tasks:
             ref, _, number = seen.task.rpartition("/")
@@ -280,7 +282,7 @@
             attempt = machine.attempts.get((ref, index))
             if attempt is not None and attempt.token == seen.token:
                 if attempt.stage == "sent":
-                    self.hears(machine)
+                    self.confirm_reachable(machine)
                 self._progress(attempt, seen, now)
             else:
                 self._stranger(machine, ref, index, seen, now)
@@ -289,13 +291,13 @@
                 if (*attempt.key, attempt.token) not in listed:
                     self._unlisted(attempt, report.tick, now)
         if newest:
-            for key in [key for key in machine.rest if key not in listed]:
-                del machine.rest[key]
+            for key in [key for key in machine.listed_attempts if key not in listed]:
+                del machine.listed_attempts[key]
         if not machine.synced:
             machine.synced = True
             machine.up = True
             machine.up_at = machine.up_at or now
-            self.risky.discard(machine.name)
+            self.unsynced.discard(machine.name)
             self.dirty = True
 
     def _unlisted(self, attempt: Attempt, tick: int, now: int) -> None:
@@ -325,7 +327,7 @@
             if not work.started_at:
                 work.started_at = now
                 self.log(
-                    f"job {work.job.ref} ({work.job.lane}, {work.job.tasks} tasks) runs after "
+                    f"job {work.job.ref} ({work.job.job_class}, {work.job.tasks} tasks) runs after "
                     f"{(now - work.asked_at) / US:.1f} s on {attempt.machine.name}"
                 )
         attempt.stage = seen.stage
@@ -333,8 +335,10 @@
     def _ended(self, attempt: Attempt, seen: Seen, now: int) -> None:
         machine, work, why = attempt.machine, attempt.work, seen.why or "error"
         job = work.job
-        rest = Rest(over=True, forgettable=why != "done", loose=attempt.loose or attempt.flying)
-        machine.rest[(*attempt.key, attempt.token)] = rest
+        rest = ListedAttempt(
+            over=True, forgettable=why != "done", loose=attempt.loose or attempt.flying
+        )
+        machine.listed_attempts[(*attempt.key, attempt.token)] = rest
         if why == "done":
             machine.faults.clear()
             known = attempt.ran_at and not attempt.adopted
@@ -351,7 +355,7 @@
         elif why == "no_such":
             # The user may still be uploading the job; if not, asking often helps nobody.
             work.failures += 1
-            work.hold_until = now + min(30, 1 << min(work.failures, 5)) * US
+            work.retry_at = now + min(30, 1 << min(work.failures, 5)) * US
         elif why == "in_use":
             machine.avoid_until = now + 1 * US
         if job.gang and why in ("peers", "incomplete", "error", "full", "no_such", "in_use"):
@@ -372,9 +376,9 @@
         work.failures += 1
         work.failed_on[machine.name] = now + 30 * US
         if work.trials >= 2 and not work.done_count:
-            self._acquit(work)
+            self._clear_failures(work)
             if work.trials >= 3:
-                work.hold_until = now + min(60, 1 << min(work.failures, 6)) * US
+                work.retry_at = now + min(60, 1 << min(work.failures, 6)) * US
             return
         machine.faults.add(work.job.ref)
         machine.avoid_until = now + 4 * US * len(machine.faults)
@@ -385,7 +389,7 @@
             machine.draining = True
             self.log(f"machine {machine.name} is faulty: {sorted(machine.faults)} failed on it")
 
-    def _acquit(self, work: Work) -> None:
+    def _clear_failures(self, work: Work) -> None:
         """The machines on which a job failed are not to blame for that."""
         for name in work.failed_on:
             if name in self.machines:
@@ -397,17 +401,17 @@
         work.ran_count += 1
         if job.guess_us > 0:
             ratio = min(8.0, max(0.1, ran_us / job.guess_us))
-            old = self.ratio.get(job.lane)
-            self.ratio[job.lane] = ratio if old is None else old * 0.95 + ratio * 0.05
+            old = self.ratio.get(job.job_class)
+            self.ratio[job.job_class] = ratio if old is None else old * 0.95 + ratio * 0.05
 
     def _stranger(self, machine: Machine, ref: str, index: int, seen: Seen, now: int) -> None:
         """A listed attempt that we did not start, or no longer want."""
         key = (ref, index, seen.token)
         work = self.works.get(ref)
         over = seen.stage == "ended"
-        rest = machine.rest.get(key)
+        rest = machine.listed_attempts.get(key)
         if rest is None:
-            rest = machine.rest[key] = Rest(over, False)
+            rest = machine.listed_attempts[key] = ListedAttempt(over, False)
         rest.over = over
         if work is None or work.closed or index >= work.job.tasks:
             rest.forgettable = over
@@ -425,7 +429,7 @@
             and work.holds(index)
         ):
             # Started by the block's last owner, and still wanted: it goes on under its number.
-            del machine.rest[key]
+            del machine.listed_attempts[key]
             attempt = Attempt(work, index, machine, seen.token, now)
             attempt.stage = "sent"
             attempt.adopted = seen.stage in ("running", "saving")
@@ -440,15 +444,17 @@
 
     def blocked(self, work: Work, now: int) -> bool:
         """May none of its tasks be started now? Until every machine that might hold a task
-        has shown our baton, only jobs that no earlier owner can have started are free."""
+        has shown our fencing token, only jobs that no earlier owner can have started are free."""
         return (
-            work.closed or now < work.hold_until or (work.stamp <= self.stamp and bool(self.risky))
+            work.closed
+            or now < work.retry_at
+            or (work.version <= self.version and bool(self.unsynced))
         )
 
     def token(self) -> int:
         """A fresh attempt's number, unique without a write."""
         self.sequence += 1
-        return (self.baton << TOKEN_BITS) | self.sequence
+        return (self.fencing_token << TOKEN_BITS) | self.sequence
 
     # For the market and the fleet
 
@@ -457,4 +463,4 @@
         owner's guess and what guesses of its class have been worth."""
         if work.ran_count >= 3:
             return max(US, work.ran_us // work.ran_count)
-        return max(US, int(work.job.guess_us * self.ratio.get(work.job.lane, 1.0)))
+        return max(US, int(work.job.guess_us * self.ratio.get(work.job.job_class, 1.0)))
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -20,7 +20,7 @@
     spot: bool
 
 
-class Need(Struct):
+class Demand(Struct):
     """Tasks of a job that should have room now, whether or not they run already."""
 
     work: Work
@@ -28,7 +28,7 @@
     drain_us: float = float("inf")  # by when what is rented will have done all open work
 
 
-class Spare(Struct):
+class WarmSpare(Struct):
     """Room to be kept for a task like that of `job`, since its class may not wait for a boot."""
 
     job: Job
@@ -36,7 +36,7 @@
     images: frozenset[str] = frozenset()  # that such jobs have lately used
 
 
-class Bin:
+class PackingBin:
     __slots__ = ("kind", "machine", "offer", "room", "used", "zone")
 
     def __init__(self, kind: Kind, zone: str, machine: Machine | None, offer: Offer) -> None:
@@ -57,7 +57,7 @@
     return kind.spot_price if spot and kind.spot_price is not None else kind.price
 
 
-class Shop:
+class OfferBook:
     """What the cloud last said of each offer.
 
     A refusal shows how many there are to be had: those we hold. There is no use in asking for
@@ -105,8 +105,8 @@
 
 
 def size(
-    needs: Sequence[Need],
-    spares: Sequence[Spare],
+    needs: Sequence[Demand],
+    spares: Sequence[WarmSpare],
     machines: Iterable[Machine],
     kinds: dict[str, Kind],
     offers: dict[Offer, int | None],
@@ -119,7 +119,7 @@
     count as wanted elsewhere.
     """
     bins = [
-        Bin(m.kind, m.zone, m, Offer(m.kind.name, m.zone, m.spot))
+        PackingBin(m.kind, m.zone, m, Offer(m.kind.name, m.zone, m.spot))
         for m in machines
         if not (m.draining or m.deleting or m.lost or m.recall_at is not None)
     ]
@@ -144,7 +144,7 @@
     hires: list[Offer] = []
     hired: dict[Offer, int] = {}
 
-    def rent(job: Job, zones: set[str] | None, count: int, within_us: float) -> Bin | None:
+    def rent(job: Job, zones: set[str] | None, count: int, within_us: float) -> PackingBin | None:
         if len(hires) >= most_hires:
             return None
         best: tuple[float, int, str, str] | None = None
@@ -170,15 +170,15 @@
             return None
         hires.append(chosen)
         hired[chosen] = hired.get(chosen, 0) + 1
-        one = Bin(kinds[chosen.kind], chosen.zone, None, chosen)
+        one = PackingBin(kinds[chosen.kind], chosen.zone, None, chosen)
         bins.append(one)
         roomy.append(one)
         return one
 
-    def keeps(one: Bin, room: Room, job: Job) -> bool:
+    def keeps(one: PackingBin, room: Room, job: Job) -> bool:
         return room.fits(job) and allowed(job, one.kind.name, one.zone, one.offer.spot)
 
-    def held(one: Bin, images: frozenset[str]) -> int:
+    def held(one: PackingBin, images: frozenset[str]) -> int:
         return 0 if one.machine is None else len(images & one.machine.images.keys())
 
     def pin(attempt: Attempt) -> bool:
@@ -242,7 +242,7 @@
 
 
 def _best_zone(
-    job: Job, count: int, zones: Sequence[str], bins: Sequence[Bin],
+    job: Job, count: int, zones: Sequence[str], bins: Sequence[PackingBin],
     offers: Iterable[Offer], kinds: dict[str, Kind],
 ) -> set[str] | None:  # fmt: skip
     """The zone where most of the tasks fit on what is rented already; else one that offers."""
--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -1,15 +1,15 @@
 """Who leads and who owns which block, read off the records in the state service.
 
-A right belongs to one incarnation of one member. It has provably ended once the member's key is
-gone (its hold ran out) or names another incarnation (the process restarted). Every claim is
-guarded on the very keys that prove this, so a claim from an old picture fails.
+A lease belongs to one incarnation of one member. It has provably ended once the member's key is
+gone (its session lease ran out) or names another incarnation (the process restarted). Every claim
+is guarded on the very keys that prove this, so a claim from an old view fails.
 """
 
 from msgspec import Struct
 
 PREFIX = "c/"
 LEADER = "c/leader"
-BATON = "c/baton"
+FENCING_TOKEN = "c/baton"
 
 
 def member_key(name: str) -> str:
@@ -31,12 +31,12 @@
     incarnation: str  # the incarnation
 
 
-class Grant(Struct, rename={"incarnation": "life"}):
+class Grant(Struct, rename={"incarnation": "life", "fencing_token": "baton"}):
     """The value of a block's key. One that was handed back names nobody, and whom to avoid."""
 
     name: str
     incarnation: str
-    baton: int
+    fencing_token: int
     avoid: str = ""
 
 
@@ -52,20 +52,20 @@
 
 
 class Cluster:
-    """The picture: values and stamps of the keys under PREFIX."""
+    """The picture: values and versions of the keys under PREFIX."""
 
     def __init__(self) -> None:
         self.members: dict[str, tuple[Claim, int]] = {}
         self.leader: tuple[Claim, int] | None = None
         self.blocks: dict[int, tuple[Grant, int]] = {}
-        self.baton: tuple[Counter, int] | None = None
+        self.fencing_token: tuple[Counter, int] | None = None
         self.loads: dict[int, Load] = {}
 
     def lives(self, name: str, incarnation: str) -> bool:
         member = self.members.get(name)
         return member is not None and member[0].incarnation == incarnation
 
-    def member_stamp(self, name: str) -> int:
+    def member_version(self, name: str) -> int:
         member = self.members.get(name)
         return member[1] if member is not None else 0
 
@@ -133,7 +133,7 @@
     return (len(name), name)
 
 
-def right_end(sent_us: int, ttl_us: int) -> int:
-    """Until when a touch sent at `sent_us` provably keeps a hold: less the drift of our clock
-    against the state service's, and less the resolution of timers."""
+def session_validity_end(sent_us: int, ttl_us: int) -> int:
+    """Until when a renewal sent at `sent_us` provably keeps a session lease: less the drift of our
+    clock against the state service's, and less the resolution of timers."""
     return sent_us + ttl_us - ttl_us // 500 - 20_000
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from basaltlead.core.auction import Bid, clear, price
-from basaltlead.core.bidding import Budget, Trend, ceiling, vertical
+from basaltlead.core.bidding import BidDirection, Budget, ceiling, vertical
 from basaltlead.core.block import Block
 from basaltlead.core.demand import NO_DUE, Due
 from basaltlead.core.model import US, Work
@@ -22,7 +22,7 @@
     """An aim on starting or finishing, as the settings give it."""
 
     kind: str
-    lane: str
+    job_class: str
     within_s: float
     times: float
 
@@ -52,10 +52,10 @@
         times: dict[str, list[float]] = {}
         for one in objectives:
             if one.kind == "deadline":
-                times.setdefault(one.lane, []).append(one.times)
+                times.setdefault(one.job_class, []).append(one.times)
             elif one.kind in ("wait", "finished") and one.within_s > 0:
                 spans = starts if one.kind == "wait" else finishes
-                spans.setdefault(one.lane, []).append(int(one.within_s * US))
+                spans.setdefault(one.job_class, []).append(int(one.within_s * US))
         for table in (starts, finishes, times):
             for values in table.values():
                 values.sort()
@@ -74,7 +74,7 @@
         self.terms = terms
         self.promises = promises
         self.budgets = {team: Budget(terms.budget, terms.refill_us, terms.budget) for team in teams}
-        self.trends: dict[str, Trend] = {}
+        self.trends: dict[str, BidDirection] = {}
         self.old_bids: dict[str, float] = {}
         self.price = 0.0
         self.last_us: int | None = None
@@ -98,11 +98,13 @@
         job = work.job
         spans: list[int] = []
         if job.due_us is not None:
-            spans = [int(job.due_us * times) for times in self.promises.times.get(job.lane, [1.0])]
+            spans = [
+                int(job.due_us * times) for times in self.promises.times.get(job.job_class, [1.0])
+            ]
         else:
-            spans = list(self.promises.finishes.get(job.lane, ()))
+            spans = list(self.promises.finishes.get(job.job_class, ()))
         if not job.gang:
-            spans += [span + job.guess_us for span in self.promises.starts.get(job.lane, ())]
+            spans += [span + job.guess_us for span in self.promises.starts.get(job.job_class, ())]
         if not spans:
             return NO_DUE
         each = work.ran_us // work.ran_count if work.ran_count >= 3 else job.guess_us
@@ -148,7 +150,7 @@
                 value, wanted = work.rate, work.remaining / left_s
             else:
                 value, wanted = float(len(work.live)), float(work.remaining)
-            trend = self.trends.setdefault(work.job.ref, Trend())
+            trend = self.trends.setdefault(work.job.ref, BidDirection())
             work.bid = vertical(
                 work.bid, value, wanted, trend,
                 self.terms.reserve, self._most(work, now), self.terms.threshold,
@@ -226,7 +228,7 @@
     def _capacity(block: Block) -> float:
         """CPUs that are for sale. Gangs hold whole machines by rank and take no part. Sold twice,
         what they use left those that come last in start order with shares of nothing."""
-        up = [m for m in block.machines.values() if m.up and not m.lost and not m.deaf_since]
+        up = [m for m in block.machines.values() if m.up and not m.lost and not m.unreachable_since]
         gangs = sum(
             len(w.live) * w.job.size for w in block.works.values() if w.job.gang and not w.closed
         )
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -13,7 +13,7 @@
     """What a user asked for."""
 
     ref: str
-    lane: str
+    job_class: str
     team: str
     gang: bool
     rank: int
@@ -128,7 +128,7 @@
 
 
 class Attempt:
-    """One start of one task on one machine, from the wish until it is provably gone."""
+    """One start of one task on one machine, from the decision until it is provably gone."""
 
     __slots__ = (
         "adopted", "bid", "flying", "grace", "index", "loose", "machine", "ran_at", "sent_tick",
@@ -165,7 +165,7 @@
         return self.stage != "planned"
 
 
-class Rest:
+class ListedAttempt:
     """An attempt that is over, or that nobody wants, still listed by its worker."""
 
     __slots__ = ("forgettable", "loose", "over")
@@ -189,10 +189,10 @@
         self.tick = 0  # of the newest message
         self.beat_tick = 0  # of the newest report
         self.min_session = 0  # older sessions are over
-        self.synced = False  # has shown that it knows our baton
-        self.asked_at = 0  # since when we have answered it without its showing our baton
+        self.synced = False  # has shown that it knows our fencing token
+        self.asked_at = 0  # since when we have answered it without its showing our fencing token
         self.session_at = 0  # the first report of its session
-        self.deaf_since = 0  # since when there is doubt whether our orders reach it; 0: none
+        self.unreachable_since = 0  # since when there is doubt whether our orders reach it; 0: none
         self.back_at = 0  # when it was last heard again after it had been lost
         self.recorded = False  # stands in the state service: tasks may be started
         self.up = False
@@ -213,7 +213,7 @@
         self.faults: set[str] = set()  # jobs that failed here since the last success
         self.slow: set[str] = set()  # jobs of which a task took far too long here
         self.attempts: dict[tuple[str, int], Attempt] = {}
-        self.rest: dict[tuple[str, int, int], Rest] = {}
+        self.listed_attempts: dict[tuple[str, int, int], ListedAttempt] = {}
         self.images: dict[str, float] = {}
         self.wanted = True  # the fleet needs it: one it does not need is left to empty
         # Kept up to date with each attempt, since plans ask for them for hundreds of machines:
@@ -224,7 +224,7 @@
     def usable(self, now: int) -> bool:
         return (
             self.synced and self.recorded and not self.lost and not self.draining
-            and not self.deleting and not self.deaf_since
+            and not self.deleting and not self.unreachable_since
             and self.recall_at is None and now >= self.avoid_until
         )  # fmt: skip
 
@@ -248,7 +248,7 @@
                 self.book(attempt)
 
     def room(self) -> Room:
-        """What is free beside all that may be there, wishes apart."""
+        """What is free beside all that may be there, commands apart."""
         room = Room.of(self.kind)
         for attempt in self.attempts.values():
             if attempt.there:
@@ -267,12 +267,14 @@
     @property
     def crowded(self) -> bool:
         """A worker's report must fit into 64 KiB, and so must the tasks that it lists."""
-        return len(self.attempts) + len(self.rest) >= MOST_TASKS
+        return len(self.attempts) + len(self.listed_attempts) >= MOST_TASKS
 
     def busy_with(self, key: tuple[str, int]) -> bool:
         """Is another attempt of the task still there? One that has ended does not count, not
         even one whose order may arrive again: the worker knows its number while it lists it."""
-        return any(known[:2] == key and not rest.over for known, rest in self.rest.items())
+        return any(
+            known[:2] == key and not rest.over for known, rest in self.listed_attempts.items()
+        )
 
     def keep_image(self, image: str, size_gb: float) -> None:
         """Note an image as the most recently used, as the worker's cache does."""
@@ -285,9 +287,9 @@
 class Work:
     """An open job as its owner sees it."""
 
-    def __init__(self, job: Job, stamp: int, now: int, age_us: int) -> None:
+    def __init__(self, job: Job, version: int, now: int, age_us: int) -> None:
         self.job = job
-        self.stamp = stamp
+        self.version = version
         self.asked_at = now - age_us
         self.done = bytearray((job.tasks + 7) // 8)
         self.done_count = 0
@@ -303,7 +305,7 @@
         self.live_open = 0  # of these, tasks that are not done
         self.started_at = 0
         self.closed = False  # cancelled or over: nothing may start
-        self.hold_until = 0
+        self.retry_at = 0
         self.failures = 0
         self.trials = 0  # failures on other machines, or on the same one after a while
         self.given_up = 0  # how often a task was taken off a machine for being slow
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -9,8 +9,8 @@
 
 from basaltlead.core import gangs, placement
 from basaltlead.core.block import Block
+from basaltlead.core.block_state import Limits
 from basaltlead.core.model import RANKS, US, Attempt, Job, Machine, Work, allowed
-from basaltlead.core.picture import Limits
 
 MOST_STARTS = 2000  # of one job in one plan
 GATHER_US = 20 * US  # a gang that has waited for so long has room kept free for it
--- a/basaltlead/reach.py
+++ b/basaltlead/dispatcher.py
@@ -9,7 +9,7 @@
 from basaltlead.clients.state import TROUBLE, Conflict
 from basaltlead.clients.workers import Workers
 from basaltlead.clock import now_us, wall_us
-from basaltlead.core.block import Wish
+from basaltlead.core.block import TaskCommand
 from basaltlead.core.model import US, Attempt, Machine
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
@@ -25,8 +25,8 @@
 LEAST_SOCKETS = 8  # to workers, whoever else needs some
 
 
-def order_of(wish: Wish) -> Order:
-    return Order(wish.verb, f"{wish.ref}/{wish.index}", wish.token, wish.grace_s)
+def order_of(command: TaskCommand) -> Order:
+    return Order(command.verb, f"{command.ref}/{command.index}", command.token, command.grace_s)
 
 
 def worker_sockets(settings: Settings) -> int:
@@ -35,7 +35,7 @@
     return max(LEAST_SOCKETS, settings.facts.quota.fd_limit // 5)
 
 
-class Reach:
+class WorkerDispatcher:
     """Runs beside an Owner and ends with it."""
 
     def __init__(self, owner: "Owner") -> None:
@@ -48,7 +48,7 @@
         self.pushing: set[str] = set()  # machines with direct orders under way
         self.probing: set[str] = set()  # machines that are being asked whether they hear us
         self.recording: set[str] = set()  # machines that are being written down
-        self.heard_at = 0  # the last word of any machine that shows our baton
+        self.heard_at = 0  # the last word of any machine that shows our fencing token
 
     def _acts(self) -> bool:
         return self.owner.acts
@@ -67,18 +67,20 @@
                 continue
             if name in self.pushing or now < machine.quiet_until:
                 continue
-            wishes, flown = block.direct(machine, now)
+            commands, flown = block.direct(machine, now)
             if not block.presses(machine):
                 del block.urgent[name]
-            if wishes:
+            if commands:
                 self.pushing.add(machine.name)
-                self.owner.spawn(self._push(machine, wishes, flown), f"push {machine.name}")
+                self.owner.spawn(self._push(machine, commands, flown), f"push {machine.name}")
 
-    async def _push(self, machine: Machine, wishes: list[Wish], flown: list[Attempt]) -> None:
+    async def _push(
+        self, machine: Machine, commands: list[TaskCommand], flown: list[Attempt]
+    ) -> None:
         executed: bool | None = None
         try:
-            orders = [order_of(wish) for wish in wishes]
-            command = Command(self.owner.grant.baton, machine.session, orders)
+            orders = [order_of(command) for command in commands]
+            command = Command(self.owner.grant.fencing_token, machine.session, orders)
             executed, report = await self.workers.command(machine.address, command, self._acts)
             if self.owner.resigned or report.machine != machine.name:
                 executed = None
@@ -93,13 +95,13 @@
             if executed is not True:  # its reports still reach us, if it lives
                 machine.quiet_until = now_us() + 2 * US
             if executed is None:
-                self.owner.block.doubt(machine, now_us())
+                self.owner.block.suspect(machine, now_us())
             self.owner.wake.set()
 
     def record(self, machine: Machine) -> None:
         """A machine must stand in the state service before its first task, so that the next
-        owner knows where tasks may be. Only one that has shown our baton: a late copy must not
-        bring back a machine that is gone."""
+        owner knows where tasks may be. Only one that has shown our fencing token: a late copy
+        must not bring back a machine that is gone."""
         if machine.name not in self.recording:
             self.recording.add(machine.name)
             self.owner.spawn(self._store_machine(machine), f"record {machine.name}")
@@ -149,8 +151,8 @@
         return False
 
     def probe(self, machine: Machine) -> None:
-        """Ask a machine directly, so that it shows our baton before its next report, and that
-        our orders reach it."""
+        """Ask a machine directly, so that it shows our fencing token, and that our commands reach
+        it, before its next report."""
         if machine.name not in self.probing and now_us() >= machine.quiet_until:
             self.probing.add(machine.name)
             self.owner.spawn(self._probe(machine), f"probe {machine.name}")
@@ -165,13 +167,13 @@
                 ):
                     return
                 try:
-                    command = Command(self.owner.grant.baton, session, [])
+                    command = Command(self.owner.grant.fencing_token, session, [])
                     async with self.asking:
                         executed, report = await self.workers.command(
                             machine.address, command, self._acts
                         )
                 except Failed:
-                    if machine.name not in self.owner.block.risky:
+                    if machine.name not in self.owner.block.unsynced:
                         machine.quiet_until = now_us() + 2 * US
                         return  # its next report asks again
                     await asyncio.sleep(0.5)
--- a/basaltlead/waiting.py
+++ b/basaltlead/events.py
@@ -3,7 +3,7 @@
 import asyncio
 
 
-async def woken(event: asyncio.Event, seconds: float) -> None:
+async def wait_for_event(event: asyncio.Event, seconds: float) -> None:
     """Return once the event is set, or after so long, and clear it."""
     try:
         async with asyncio.timeout(seconds):
--- a/basaltlead/leasing.py
+++ b/basaltlead/leasing.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from basaltlead.clients.state import TROUBLE, State
+from basaltlead.core.block_state import Limits
 from basaltlead.core.leadership import LEADER
 from basaltlead.core.model import Job
-from basaltlead.core.picture import Limits
-from basaltlead.following import follow
+from basaltlead.events import wait_for_event
 from basaltlead.logs import log
 from basaltlead.membership import Membership
 from basaltlead.records import (
@@ -25,7 +25,7 @@
     job_of,
     split_open,
 )  # fmt: skip
-from basaltlead.waiting import woken
+from basaltlead.watching import follow
 from basaltlead.wire.state import Change, Guard, Put, Row
 
 
@@ -79,7 +79,7 @@
 
     def _take(self, prefix: str, change: Change) -> None:
         if change.put is not None:
-            self._put(prefix, change.put, change.value, change.stamp)
+            self._put(prefix, change.put, change.value, change.version)
         elif change.drop is not None:
             self._drop(prefix, change.drop)
 
@@ -91,15 +91,15 @@
         elif prefix == MACHINE:
             self.machines.clear()
         for row in rows:
-            self._put(prefix, row.key, row.value, row.stamp)
+            self._put(prefix, row.key, row.value, row.version)
 
-    def _put(self, prefix: str, key: str, raw: msgspec.Raw, stamp: int) -> None:
+    def _put(self, prefix: str, key: str, raw: msgspec.Raw, version: int) -> None:
         name = key[len(prefix) :]
         if prefix == OPEN:
             ref, part = split_open(key)
             if part is None:
                 job = job_of(msgspec.json.decode(raw, type=StoredJob).job)
-                self.jobs[ref] = (job, stamp)
+                self.jobs[ref] = (job, version)
                 self.wake.set()
         elif prefix == LEASE:
             self.leases[name] = msgspec.json.decode(raw, type=Lease)
@@ -126,12 +126,12 @@
     async def lease(self) -> None:
         """On the leader: a lease for every open job that has none."""
         while True:
-            await woken(self.wake, 0.5)
+            await wait_for_event(self.wake, 0.5)
             if not self.member.acts or not self.member.leads:
                 continue
-            for ref, (job, stamp) in list(self.jobs.items()):
+            for ref, (job, version) in list(self.jobs.items()):
                 if ref not in self.leases:
-                    await self._lease(ref, job, stamp)
+                    await self._lease(ref, job, version)
 
     def _loads(self) -> dict[int, float]:
         out: dict[int, float] = {}
@@ -143,14 +143,14 @@
                     out[block] = out.get(block, 0.0) + work
         return out
 
-    async def _lease(self, ref: str, job: Job, stamp: int) -> None:
+    async def _lease(self, ref: str, job: Job, version: int) -> None:
         leader = self.member.cluster.leader
         if leader is None:
             return
         limits = self.teams.get(job.team, Limits())
         lease = Lease(parts_of(job, limits, self.blocks, self._loads()))
         guards = [
-            self.member.guard(), Guard(LEADER, leader[1]), Guard(OPEN + ref, stamp),
+            self.member.guard(), Guard(LEADER, leader[1]), Guard(OPEN + ref, version),
             Guard(LEASE + ref, 0),
         ]  # fmt: skip
         try:
--- a/basaltlead/logs.py
+++ b/basaltlead/logs.py
@@ -17,7 +17,7 @@
     log.setLevel(LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO))
 
 
-class Brake:
+class LogRateLimiter:
     """Lets at most `burst` lines a `span_us` through, so bad input can't flood the log."""
 
     def __init__(self, burst: int = 5, span_us: int = 10_000_000) -> None:
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -1,4 +1,4 @@
-"""This process among the others: its hold, its place in the cluster, who leads, who owns what."""
+"""This process among the others: its session lease, who leads, who owns what."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,11 +6,11 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
-from basaltlead.clients.state import TROUBLE, Conflict, NoHold, State
+from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired, State
 from basaltlead.clock import chance, now_us
 from basaltlead.core import leadership
 from basaltlead.core.leadership import (
-    BATON,
+    FENCING_TOKEN,
     LEADER,
     PREFIX,
     Claim,
@@ -21,10 +21,10 @@
     block_key,
     member_key,
 )  # fmt: skip
-from basaltlead.following import follow
+from basaltlead.events import wait_for_event
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
-from basaltlead.waiting import woken
+from basaltlead.watching import follow
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 
 # A candidate for the leader's place waits for that long for each one before it in the order of
@@ -34,27 +34,28 @@
 
 
 class Membership:
-    """Keeps the hold alive and the picture of the cluster fresh.
+    """Keeps the session lease alive and the view of the cluster fresh.
 
-    `acts` is the one test that everything done by right must pass at the moment it is done.
+    `acts` is the one test that everything that depends on the lease must pass at the moment it is
+    done.
     """
 
-    def __init__(self, name: str, state: State, right_us: int, blocks: int) -> None:
+    def __init__(self, name: str, state: State, session_lease_us: int, blocks: int) -> None:
         self.name = name
         self.state = state
-        self.ttl_us = right_us
-        # An owner acts no longer than a right after its last look at the open jobs was asked
-        # for, so a watch must come back well within that.
-        self.watch_ms = min(4000, right_us // 4000)
+        self.ttl_us = session_lease_us
+        # An owner acts no longer than a session lease after its last read of the open jobs was
+        # sent, so a watch must come back well within that.
+        self.watch_ms = min(4000, session_lease_us // 4000)
         self.block_count = blocks
         self.incarnation = ""
-        self.hold = 0
-        self.stamp = 0
-        self.touched_until = 0  # how long our hold provably lasts
-        self.vouched_until = 0  # how long all peers have promised not to replace us
+        self.session_lease = 0
+        self.version = 0
+        self.renewed_until = 0  # how long our session lease is provably valid
+        self.deferred_until = 0  # how long all peers have deferred our replacement
         self.contact_at = 0  # the last good answer of the state service
         self.started_at = now_us()
-        self.promises: dict[tuple[str, str], int] = {}  # to owners, until when
+        self.deferrals: dict[tuple[str, str], int] = {}  # to owners, until when
         self.cluster = Cluster()
         self.changed: Callable[[], None] = lambda: None
         self.wake = asyncio.Event()
@@ -62,15 +63,15 @@
         self.vacant_since: int | None = None  # since when no leader is known to live
         self.chance = chance
 
-    # Rights
+    # Lease validity
 
     @property
     def acts(self) -> bool:
-        return self.stamp > 0 and now_us() < self.right_until
+        return self.version > 0 and now_us() < self.session_valid_until
 
     @property
-    def right_until(self) -> int:
-        return max(self.touched_until, self.vouched_until)
+    def session_valid_until(self) -> int:
+        return max(self.renewed_until, self.deferred_until)
 
     @property
     def partitioned(self) -> bool:
@@ -82,8 +83,8 @@
         """Has the state service not answered for so long that asking it for a user is no use?"""
         return now_us() - self.contact_at > self.ttl_us
 
-    def promise(self, name: str, incarnation: str, span_us: int) -> int:
-        """Promise an owner not to put anybody in its place; 0 when we will not.
+    def defer_takeover(self, name: str, incarnation: str, span_us: int) -> int:
+        """Defer the replacement of an owner for a span; 0 when we will not.
 
         With the state service in sight there is no reason to: if the owner has lost it alone,
         somebody else should serve its machines.
@@ -96,8 +97,8 @@
             return 0
         span = min(span_us, self.ttl_us)
         now = now_us()
-        self.promises = {key: until for key, until in self.promises.items() if until > now}
-        self.promises[(name, incarnation)] = now + span
+        self.deferrals = {key: until for key, until in self.deferrals.items() if until > now}
+        self.deferrals[(name, incarnation)] = now + span
         return span
 
     def may_replace(self, held: Grant) -> bool:
@@ -109,13 +110,13 @@
         ):
             return True
         now = now_us()
-        return now >= self.promises.get((held.name, held.incarnation), 0) and (
+        return now >= self.deferrals.get((held.name, held.incarnation), 0) and (
             not held.name or now >= self.started_at + self.ttl_us * 101 // 100
         )
 
     def guard(self) -> Guard:
         """What every write of this process is guarded on."""
-        return Guard(member_key(self.name), self.stamp)
+        return Guard(member_key(self.name), self.version)
 
     def owned(self, block: int) -> tuple[Grant, int] | None:
         """The grant of a block to this very incarnation."""
@@ -148,47 +149,47 @@
     # Loops
 
     async def keep(self) -> None:
-        """Join, touch, and join anew whenever the hold is lost."""
+        """Join, renew the session lease, and join anew whenever it is lost."""
         backoff = Backoff(200_000, 600_000, self.chance)  # users are refused meanwhile
         while True:
             try:
-                if not self.stamp:
+                if not self.version:
                     await self._join()
                     backoff.reset()
                 sent = now_us()
-                await self.state.touch(self.hold, min(1_500_000, self.ttl_us // 4))
-                self.touched_until = leadership.right_end(sent, self.ttl_us)
+                await self.state.renew_lease(self.session_lease, min(1_500_000, self.ttl_us // 4))
+                self.renewed_until = leadership.session_validity_end(sent, self.ttl_us)
                 self.contact_at = now_us()
                 backoff.reset()
                 await asyncio.sleep(self.ttl_us / 6e6)
-            except NoHold:
-                log.info("hold lost, joining anew")
+            except SessionLeaseExpired:
+                log.info("session lease lost, joining anew")
                 self.leave()
             except (Failed, Unavailable, Conflict) as fault:
-                log.debug("hold: %s", fault)
+                log.debug("session lease: %s", fault)
                 await backoff.rest()
 
     def leave(self) -> None:
-        self.stamp = 0
-        self.touched_until = self.vouched_until = 0
+        self.version = 0
+        self.renewed_until = self.deferred_until = 0
         self.incarnation = ""
         self.changed()
 
     async def _join(self) -> None:
         sent = now_us()
-        hold = await self.state.hold(self.ttl_us)
+        session_lease = await self.state.create_lease(self.ttl_us)
         old = await self.state.get(member_key(self.name))
         incarnation = f"{chance.getrandbits(48):012x}"
         # Guarded on what stood there, so that a late copy of this very request from an earlier
         # incarnation can't put that one back into our place.
-        stamp = await self.state.multi(
-            [Guard(member_key(self.name), old.stamp if old else 0)],
-            [Put(member_key(self.name), Claim(self.name, incarnation), hold)],
+        version = await self.state.multi(
+            [Guard(member_key(self.name), old.version if old else 0)],
+            [Put(member_key(self.name), Claim(self.name, incarnation), session_lease)],
         )
-        self.hold, self.incarnation, self.stamp = hold, incarnation, stamp
-        self.touched_until = leadership.right_end(sent, self.ttl_us)
+        self.session_lease, self.incarnation, self.version = session_lease, incarnation, version
+        self.renewed_until = leadership.session_validity_end(sent, self.ttl_us)
         self.contact_at = now_us()
-        self.cluster.members[self.name] = (Claim(self.name, incarnation), stamp)
+        self.cluster.members[self.name] = (Claim(self.name, incarnation), version)
         log.info("joined as %s/%s", self.name, incarnation)
         self.wake.set()
         self.changed()
@@ -204,14 +205,14 @@
 
     def _take(self, change: Change) -> None:
         if change.put is not None:
-            self._put(change.put, change.value, change.stamp)
+            self._put(change.put, change.value, change.version)
         elif change.drop is not None:
-            self._drop(change.drop, change.stamp)
+            self._drop(change.drop, change.version)
 
     def _looked(self) -> None:
         mine = self.cluster.members.get(self.name)
-        if self.stamp and (mine is None or mine[0].incarnation != self.incarnation) and (
-            mine is None or mine[1] > self.stamp
+        if self.version and (mine is None or mine[0].incarnation != self.incarnation) and (
+            mine is None or mine[1] > self.version
         ):  # fmt: skip
             log.info("our member key is gone, joining anew")
             self.leave()
@@ -221,50 +222,50 @@
     def _load(self, rows: list[Row]) -> None:
         mine = self.cluster.members.get(self.name)
         self.cluster = Cluster()
-        if mine is not None and self.stamp:
+        if mine is not None and self.version:
             self.cluster.members[self.name] = mine
         for row in rows:
-            self._put(row.key, row.value, row.stamp)
+            self._put(row.key, row.value, row.version)
 
-    def _put(self, key: str, raw: msgspec.Raw, stamp: int) -> None:
+    def _put(self, key: str, raw: msgspec.Raw, version: int) -> None:
         try:
             if key == LEADER:
-                self.cluster.leader = (msgspec.json.decode(raw, type=Claim), stamp)
-            elif key == BATON:
-                self.cluster.baton = (msgspec.json.decode(raw, type=Counter), stamp)
+                self.cluster.leader = (msgspec.json.decode(raw, type=Claim), version)
+            elif key == FENCING_TOKEN:
+                self.cluster.fencing_token = (msgspec.json.decode(raw, type=Counter), version)
             elif key.startswith("c/member/"):
                 name = key.removeprefix("c/member/")
                 known = self.cluster.members.get(name)
-                if known is None or known[1] <= stamp:
-                    self.cluster.members[name] = (msgspec.json.decode(raw, type=Claim), stamp)
+                if known is None or known[1] <= version:
+                    self.cluster.members[name] = (msgspec.json.decode(raw, type=Claim), version)
             elif key.startswith("c/load/"):
                 load = msgspec.json.decode(raw, type=Load)
                 self.cluster.loads[int(key.removeprefix("c/load/"))] = load
             elif key.startswith("c/block/"):
                 grant = msgspec.json.decode(raw, type=Grant)
-                self._note_block(int(key.removeprefix("c/block/")), grant, stamp)
+                self._note_block(int(key.removeprefix("c/block/")), grant, version)
         except (msgspec.DecodeError, ValueError) as fault:
             log.error("record %s can't be read: %s", key, fault)
 
-    def _note_block(self, block: int, grant: Grant, stamp: int) -> None:
+    def _note_block(self, block: int, grant: Grant, version: int) -> None:
         """The answer to our own write and the watch tell the same in any order."""
         known = self.cluster.blocks.get(block)
-        if known is None or known[1] <= stamp:
-            self.cluster.blocks[block] = (grant, stamp)
+        if known is None or known[1] <= version:
+            self.cluster.blocks[block] = (grant, version)
 
-    def _drop(self, key: str, stamp: int) -> None:
+    def _drop(self, key: str, version: int) -> None:
         if key == LEADER:
             self.cluster.leader = None
         elif key.startswith("c/member/"):
             known = self.cluster.members.get(key.removeprefix("c/member/"))
-            if known is not None and known[1] <= stamp:
+            if known is not None and known[1] <= version:
                 del self.cluster.members[key.removeprefix("c/member/")]
 
     async def lead(self) -> None:
         """Claim the leader's key when nobody living has it; as leader, lease out the blocks."""
         pause_s = LEAD_PAUSE_S
         while True:
-            await woken(self.wake, pause_s)
+            await wait_for_event(self.wake, pause_s)
             pause_s = LEAD_PAUSE_S
             if self.cluster.leader_lives:
                 self.vacant_since = None
@@ -287,7 +288,7 @@
             except Conflict as conflict:
                 log.debug("claim lost on %s", conflict)
                 await asyncio.sleep(self.chance.uniform(0.02, 0.1))
-            except (Failed, Unavailable, NoHold) as fault:
+            except (Failed, Unavailable, SessionLeaseExpired) as fault:
                 log.debug("claim: %s", fault)
                 await asyncio.sleep(self.chance.uniform(0.1, 0.4))
 
@@ -307,34 +308,40 @@
         if cluster.leader is None:
             guards.append(Guard(LEADER, 0))
         else:
-            claim, stamp = cluster.leader
-            guards.append(Guard(LEADER, stamp))
-            if claim.name != self.name:  # this key is the proof that the old leader's right ended
-                guards.append(Guard(member_key(claim.name), cluster.member_stamp(claim.name)))
+            claim, version = cluster.leader
+            guards.append(Guard(LEADER, version))
+            if claim.name != self.name:  # this key is the proof that the old leader's lease ended
+                guards.append(Guard(member_key(claim.name), cluster.member_version(claim.name)))
         claim = Claim(self.name, self.incarnation)
-        stamp = await self.state.multi(guards, [Put(LEADER, claim, self.hold)])
-        self.cluster.leader = (claim, stamp)
+        version = await self.state.multi(guards, [Put(LEADER, claim, self.session_lease)])
+        self.cluster.leader = (claim, version)
         log.info("leading as %s/%s", self.name, self.incarnation)
         self.wake.set()
 
     async def _grant(self, block: int) -> None:
         cluster = self.cluster
         assert cluster.leader is not None
-        counter, baton_stamp = cluster.baton or (Counter(0), 0)
-        guards = [self.guard(), Guard(LEADER, cluster.leader[1]), Guard(BATON, baton_stamp)]
+        counter, fencing_token_version = cluster.fencing_token or (Counter(0), 0)
+        guards = [
+            self.guard(),
+            Guard(LEADER, cluster.leader[1]),
+            Guard(FENCING_TOKEN, fencing_token_version),
+        ]
         held = cluster.blocks.get(block)
         guards.append(Guard(block_key(block), held[1] if held else 0))
         target = cluster.taker(block, self.name) or self.name
         named = {held[0].name if held is not None else "", target} - {"", self.name}
-        for name in sorted(named):  # the old owner's right has ended; the new one lives
-            guards.append(Guard(member_key(name), cluster.member_stamp(name)))
+        for name in sorted(named):  # the old owner's lease has ended; the new one lives
+            guards.append(Guard(member_key(name), cluster.member_version(name)))
         grant = Grant(target, cluster.members[target][0].incarnation, counter.last + 1)
-        stamp = await self.state.multi(
-            guards, [Put(BATON, Counter(grant.baton)), Put(block_key(block), grant)]
+        version = await self.state.multi(
+            guards, [Put(FENCING_TOKEN, Counter(grant.fencing_token)), Put(block_key(block), grant)]
+        )
+        cluster.fencing_token = (Counter(grant.fencing_token), version)
+        self._note_block(block, grant, version)
+        log.info(
+            "block %d leased to %s with fencing token %d", block, grant.name, grant.fencing_token
         )
-        cluster.baton = (Counter(grant.baton), stamp)
-        self._note_block(block, grant, stamp)
-        log.info("block %d leased to %s with baton %d", block, grant.name, grant.baton)
         self.changed()
 
     async def step_down(self, block: int, leader_too: bool) -> bool:
@@ -346,16 +353,16 @@
         if leader_too:
             self.shy_until = now_us() + 15_000_000
         guards = [self.guard(), Guard(block_key(block), held[1])]
-        free = Grant("", "", held[0].baton, avoid=self.name)
+        free = Grant("", "", held[0].fencing_token, avoid=self.name)
         apply: list[Put | Drop] = [Put(block_key(block), free)]
         if leader_too and self.leads and self.cluster.leader is not None:
             guards.append(Guard(LEADER, self.cluster.leader[1]))
             apply.append(Drop(LEADER))
         try:
-            stamp = await self.state.multi(guards, apply)
+            version = await self.state.multi(guards, apply)
         except TROUBLE as fault:
             log.info("stepping down: %s", fault)
             return False
-        self._note_block(block, free, stamp)
+        self._note_block(block, free, version)
         log.info("block %d handed back", block)
         return True
--- a/basaltlead/net/http.py
+++ b/basaltlead/net/http.py
@@ -336,7 +336,7 @@
         still: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         """Send one request and await its answer; `Failed` when there is none in time. What a
-        right is needed for asks `still` at the last moment: it may have waited for a
+        lease is needed for asks `still` at the last moment: it may have waited for a
         connection, or the whole process may have stood still."""
         connection: ClientProtocol | None = None
         sent = False
@@ -347,7 +347,7 @@
                 if connection.transport is None:
                     raise Failed("connection lost", sent=False)
                 if not still():
-                    raise Failed("the right has ended", sent=False)
+                    raise Failed("the lease has ended", sent=False)
                 # Only now: a reply that nobody waits for would be reported as a lost exception.
                 connection.reply = asyncio.get_running_loop().create_future()
                 sent = True
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -8,26 +8,26 @@
 
 import msgspec
 
+from basaltlead.autoscaler import Autoscaler
 from basaltlead.clients.base import Backoff, Unavailable, encode
 from basaltlead.clients.cloud import Cloud, NoCapacity
 from basaltlead.clients.state import TROUBLE, State
 from basaltlead.clock import now_us
 from basaltlead.core.cancellations import Cancellations
-from basaltlead.core.fleet import Shop
+from basaltlead.core.fleet import OfferBook
 from basaltlead.core.leadership import Grant
 from basaltlead.core.market import Market, Promises, Terms
 from basaltlead.core.model import US, Kind
-from basaltlead.frontdesk import FrontDesk, refusal
+from basaltlead.dispatcher import LEAST_SOCKETS
 from basaltlead.leasing import Leasing
-from basaltlead.logs import Brake, log
+from basaltlead.logs import LogRateLimiter, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response, Server
 from basaltlead.owner import Owner, limits_of
 from basaltlead.peers import Peers
-from basaltlead.reach import LEAST_SOCKETS
 from basaltlead.records import HIRE, LEASE, MACHINE, OPEN, TYPES, kind_of
-from basaltlead.renting import Renting
 from basaltlead.settings import Settings
+from basaltlead.user_api import UserApi, refusal
 from basaltlead.wire.cloud import MachineType, Types
 from basaltlead.wire.state import Put
 from basaltlead.wire.workers import Elsewhere, Report
@@ -50,26 +50,26 @@
         )
         self.cloud = Cloud(settings.services.cloud, facts.cloud.rps / spread)
         self.member = Membership(
-            settings.member, self.state, settings.right_us, settings.operator.blocks
+            settings.member, self.state, settings.session_lease_us, settings.operator.blocks
         )
         self.member.changed = self._changed
         self.cancellations = Cancellations(now_us())
         self.peers = Peers(self.member, settings.internal_addr, settings.known, self.cancellations)
-        self.peers.looked_at = self._looked_at
+        self.peers.cancellations_read_at = self._cancellations_read_at
         self.peers.over = self._over
         self.peers.covered = self._covered
         blocks = settings.operator.blocks
         self.leasing = Leasing(self.member, self.state, limits_of(settings), blocks)
-        self.desk = FrontDesk(
+        self.user_api = UserApi(
             self.state, self.member, limits_of(settings), facts.state.txn_ops, blocks,
             self.cancellations,
         )  # fmt: skip
-        self.desk.cancelled = self._cancelled
-        self.kinds: dict[str, Kind] = self.desk.kinds
+        self.user_api.cancelled = self._cancelled
+        self.kinds: dict[str, Kind] = self.user_api.kinds
         self.owners: dict[int, Owner] = {}
         self.kept_types: set[str] = set()
-        self.shop = Shop()
-        self.brake = Brake()
+        self.offer_book = OfferBook()
+        self.log_limiter = LogRateLimiter()
         self.server: Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -114,16 +114,16 @@
     def _changed(self) -> None:
         """The cluster has changed: take up blocks that are ours, let go those that are not."""
         for number in range(self.settings.operator.blocks):
-            held = self.member.owned(number) if self.member.stamp else None
+            held = self.member.owned(number) if self.member.version else None
             owner = self.owners.get(number)
-            if owner is not None and (held is None or held[1] != owner.stamp):
+            if owner is not None and (held is None or held[1] != owner.version):
                 log.info("block %d let go", number)
                 owner.stop()
                 owner = self.owners.pop(number) and None
             if owner is None and held is not None:
                 self._take_up(number, held[0], held[1])
 
-    def _take_up(self, number: int, grant: Grant, stamp: int) -> None:
+    def _take_up(self, number: int, grant: Grant, version: int) -> None:
         op = self.settings.operator
         facts = self.settings.facts
         terms = Terms(
@@ -132,23 +132,23 @@
         )  # fmt: skip
         market = Market(terms, [t.name for t in facts.teams], Promises.of(facts.objectives))
         owner = Owner(
-            self.settings, self.member, self.state, number, grant, stamp, market, self.kinds
+            self.settings, self.member, self.state, number, grant, version, market, self.kinds
         )
         owner.foreign = lambda name: self.leasing.block_of(name) not in (None, number)
         owner.sockets_left = self._sockets_left
         owner.is_over = self.cancellations.__contains__
-        renting = Renting(self.settings, self.cloud, owner, market, self.shop)
-        owner.on_loaded = renting.start
+        autoscaler = Autoscaler(self.settings, self.cloud, owner, market, self.offer_book)
+        owner.on_loaded = autoscaler.start
         self.owners[number] = owner
         owner.start()
 
     # Sockets: those who come to us and direct orders share one limit
 
     def _direct_sockets(self) -> int:
-        return sum(len(owner.reach.workers.pools) for owner in self.owners.values())
+        return sum(len(owner.dispatcher.workers.pools) for owner in self.owners.values())
 
     def _let_go(self) -> bool:
-        return any(owner.reach.workers.let_go() for owner in self.owners.values())
+        return any(owner.dispatcher.workers.let_go() for owner in self.owners.values())
 
     def _sockets_left(self) -> int:
         """How many may go to the workers of one owner now."""
@@ -166,8 +166,8 @@
         for owner in self.owners.values():
             owner.close(ref)
 
-    def _looked_at(self) -> int | None:
-        looks = [owner.looked_at for owner in self.owners.values()]
+    def _cancellations_read_at(self) -> int | None:
+        looks = [owner.cancellations_read_at for owner in self.owners.values()]
         return min((look for look in looks if look is not None), default=None)
 
     def _covered(self, since: int, until: int) -> None:
@@ -179,7 +179,7 @@
         while True:
             await asyncio.sleep(0.3)
             for number, owner in list(self.owners.items()):
-                if not owner.resigned and self._deaf(owner):
+                if not owner.resigned and self._unreachable(owner):
                     log.info("block %d: no report for too long, stepping down", number)
                     owner.resigned = True
                 if owner.resigned:
@@ -194,7 +194,7 @@
             owner.stop()
             self.owners.pop(number, None)
 
-    def _deaf(self, owner: Owner) -> bool:
+    def _unreachable(self, owner: Owner) -> bool:
         """All machines silent at once while other members live: more likely our own links."""
         if not owner.loaded or len(self.member.cluster.members) < 2 or not owner.acts:
             return False
@@ -202,10 +202,10 @@
         report_us = owner.block.timing.report_us
         patience = max(3 * US, int(report_us * 2.5))
         machines = owner.block.machines.values()
-        if owner.reach.heard_at:
+        if owner.dispatcher.heard_at:
             known = sum(1 for m in machines if m.synced and not m.lost and not m.deleting)
-            return known > 1 and now - owner.reach.heard_at > patience
-        return len(owner.block.risky) > 1 and now - owner.block.took_at > 9 * US + report_us
+            return known > 1 and now - owner.dispatcher.heard_at > patience
+        return len(owner.block.unsynced) > 1 and now - owner.block.took_at > 9 * US + report_us
 
     async def _types(self) -> None:
         """Machine types and their present prices."""
@@ -263,14 +263,14 @@
                 return Response(200, b"{}")
             return refusal(503, "not ready")
         if path == "/api/jobs" or path.startswith("/api/jobs/"):
-            return self.desk.handle(request)
+            return self.user_api.handle(request)
         return refusal(404, "no such path")
 
     def beat(self, body: bytes) -> Response:
         try:
             report = report_decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
-            if self.brake.ok(now_us()):
+            if self.log_limiter.ok(now_us()):
                 log.info("malformed report: %s", fault)
             return refusal(400, "malformed report")
         number = self.leasing.block_of(report.machine) or 0
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -1,4 +1,4 @@
-"""The owner of a block: its rights and loops, what is stored of it, and the answers to its workers.
+"""The owner of a block: its loops, what is stored of it, and the answers to its workers.
 
 The ways to its machines (reach), results on their way into the state service (results) and tasks
 shared with other blocks (sharing) are parts of their own."""
@@ -13,17 +13,18 @@
 from basaltlead.clients.base import Backoff, encode
 from basaltlead.clients.state import TROUBLE, Conflict, State
 from basaltlead.clock import age_us, now_us
-from basaltlead.core.block import Block, Wish
+from basaltlead.core.block import Block, TaskCommand
+from basaltlead.core.block_state import Limits, Timing
 from basaltlead.core.leadership import Grant, block_key
 from basaltlead.core.market import Market, TeamRecord
 from basaltlead.core.model import US, Job, Kind, Machine
-from basaltlead.core.picture import Limits, Timing
 from basaltlead.core.planning import plan
-from basaltlead.following import follow
+from basaltlead.dispatcher import WorkerDispatcher, order_of
+from basaltlead.events import wait_for_event
 from basaltlead.logs import log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Response
-from basaltlead.reach import Reach, order_of
+from basaltlead.rebalancer import Rebalancer
 from basaltlead.records import (
     HIRE,
     LEASE,
@@ -42,8 +43,7 @@
 )  # fmt: skip
 from basaltlead.results import Results
 from basaltlead.settings import Settings
-from basaltlead.sharing import Sharing
-from basaltlead.waiting import woken
+from basaltlead.watching import follow
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 from basaltlead.wire.workers import Orders, Report
 
@@ -51,7 +51,7 @@
 TICK_US = US // 10  # how exactly the ends of leases are noticed
 
 
-class Lane:
+class JobClass:
     """What was lately seen of a class."""
 
     def __init__(self, last: Job) -> None:
@@ -64,73 +64,73 @@
 
     def __init__(
         self, settings: Settings, member: Membership, state: State, number: int,
-        grant: Grant, stamp: int, market: Market, kinds: dict[str, Kind],
+        grant: Grant, version: int, market: Market, kinds: dict[str, Kind],
     ) -> None:  # fmt: skip
         self.settings = settings
         self.member = member
         self.state = state
         self.number = number
         self.grant = grant
-        self.stamp = stamp
+        self.version = version
         self.market = market
         self.kinds = kinds
         w = settings.facts.workers
         timing = Timing(int(w.lease_s * US), int(w.report_s * US))
-        self.block = Block(grant.baton, stamp, now_us(), timing, limits_of(settings))
+        self.block = Block(grant.fencing_token, version, now_us(), timing, limits_of(settings))
         self.block.log = lambda text: log.info("%s", text)
         self.loaded = False
         self.resigned = False  # we have stopped acting, for good
         # When the last good look at the open jobs was asked for. None before the first: what is
         # cancelled since our predecessor's last look runs on at its workers, for nobody knows
         # how long already, so until we have looked ourselves we may renew no lease.
-        self.looked_at: int | None = None
+        self.cancellations_read_at: int | None = None
         self.hires: dict[str, StoredHire] = {}
-        self.stamps: dict[str, int] = {}  # of rows that we write more than once
+        self.versions: dict[str, int] = {}  # of rows that we write more than once
         self.shared = settings.operator.blocks > 1  # is the work leased in parts?
         self.early: dict[str, int] = {}  # answers given before the block was loaded
         self.tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
-        self.lanes: dict[str, Lane] = {}
-        self.reach = Reach(self)
+        self.job_classes: dict[str, JobClass] = {}
+        self.dispatcher = WorkerDispatcher(self)
         self.results = Results(self)
-        self.sharing = Sharing(self)
+        self.rebalancer = Rebalancer(self)
         self.on_loaded: Callable[[], None] = lambda: None
         self.is_over: Callable[[str], bool] = lambda ref: False  # is it known to be cancelled?
         self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
         self.sockets_left: Callable[[], int] = lambda: 1_000_000  # for direct orders
 
-    # Rights
+    # Lease validity
 
     @property
     def acts(self) -> bool:
-        """The hold, the grant and our sight of cancellations all provably last."""
+        """The session lease, the grant and our view of the cancellations are all provably valid."""
         return (
             self.member.acts
             and not self.resigned
             and self.member.incarnation == self.grant.incarnation
-            and self.looked_at is not None
-            and now_us() < self.looked_at + self.settings.staleness_us
+            and self.cancellations_read_at is not None
+            and now_us() < self.cancellations_read_at + self.settings.staleness_us
         )
 
     def guards(self) -> list[Guard]:
-        return [self.member.guard(), Guard(block_key(self.number), self.stamp)]
+        return [self.member.guard(), Guard(block_key(self.number), self.version)]
 
     async def put(self, rows: dict[str, Any], guards: Iterable[Guard] = ()) -> None:
-        """Write rows of ours that are written again and again. Each is guarded on the last stamp
+        """Write rows of ours that are written again and again. Each is guarded on the last version
         that we know of it: a write that went unanswered may be carried out after a newer one,
-        and would undo that. If it was carried out first, we learn its stamp and the next try
+        and would undo that. If it was carried out first, we learn its version and the next try
         goes through."""
-        known = [Guard(key, self.stamps.get(key, 0)) for key in rows]
+        known = [Guard(key, self.versions.get(key, 0)) for key in rows]
         puts: list[Put | Drop] = [Put(key, value) for key, value in rows.items()]
         try:
-            stamp = await self.state.multi([*self.guards(), *guards, *known], puts, can_wait=True)
+            version = await self.state.multi([*self.guards(), *guards, *known], puts, can_wait=True)
         except Conflict as conflict:
             for key in conflict.failed:
                 if key in rows:
                     row = await self.state.get(key)
-                    self.stamps[key] = row.stamp if row is not None else 0
+                    self.versions[key] = row.version if row is not None else 0
             raise
-        self.stamps |= dict.fromkeys(rows, stamp)
+        self.versions |= dict.fromkeys(rows, version)
 
     # Life
 
@@ -155,7 +155,7 @@
         self.resigned = True
         for task in list(self.tasks):
             task.cancel()
-        self.reach.close()
+        self.dispatcher.close()
 
     async def _run(self) -> None:
         backoff = Backoff(100_000, 1_000_000, self.member.chance)
@@ -176,25 +176,25 @@
         self.spawn(self._plan(), "loop plan")
         self.spawn(self._rounds(), "loop rounds")
         if self.shared:
-            self.spawn(self.sharing.watch(), "loop leases")
-            self.spawn(self.sharing.balance(), "loop balance")
+            self.spawn(self.rebalancer.watch(), "loop leases")
+            self.spawn(self.rebalancer.balance(), "loop balance")
         for machine in list(self.block.machines.values()):
-            if machine.name in self.block.risky and machine.address:
-                self.reach.probe(machine)
+            if machine.name in self.block.unsynced and machine.address:
+                self.dispatcher.probe(machine)
 
     async def _load(self) -> int:
         block = self.block
         asked = now_us()
         rows, revision = await self.state.rows(OPEN)
         for row in rows:
-            self._take_open(row.key, row.value, row.stamp, now_us())
-        self.looked_at = asked
+            self._take_open(row.key, row.value, row.version, now_us())
+        self.cancellations_read_at = asked
         machines, _ = await self.state.rows(MACHINE)
         hires, _ = await self.state.rows(HIRE)
         teams, _ = await self.state.rows(TEAM)
         leases: list[Row] = []
         if self.shared:
-            leases, self.sharing.since = await self.state.rows(LEASE)
+            leases, self.rebalancer.since = await self.state.rows(LEASE)
         now = now_us()
         for row in machines:
             stored = msgspec.json.decode(row.value, type=StoredMachine)
@@ -210,12 +210,12 @@
             hire = msgspec.json.decode(row.value, type=StoredHire)
             if hire.block == self.number:
                 self.hires[row.key[len(HIRE) :]] = hire
-                self.stamps[row.key] = row.stamp
-        self.sharing.load(leases)
+                self.versions[row.key] = row.version
+        self.rebalancer.load(leases)
         for row in teams:
             team, _, number = row.key[len(TEAM) :].rpartition("/")
             if number == str(self.number):
-                self.stamps[row.key] = row.stamp
+                self.versions[row.key] = row.version
                 self.market.load(team, msgspec.json.decode(row.value, type=TeamRecord))
         log.info(
             "block %d loaded: %d jobs, %d machines, %d hires", self.number,
@@ -223,26 +223,26 @@
         )  # fmt: skip
         return revision
 
-    def _take_open(self, key: str, raw: msgspec.Raw, stamp: int, now: int) -> None:
+    def _take_open(self, key: str, raw: msgspec.Raw, version: int, now: int) -> None:
         ref, part = split_open(key)
         if part is None:
             stored = msgspec.json.decode(raw, type=StoredJob)
             if ref in self.block.works or self.is_over(ref):
                 return  # its end has been told, and the watch will show that too
             age = age_us(stored.at)
-            work = self.block.add_job(job_of(stored.job), stamp, now, age)
+            work = self.block.add_job(job_of(stored.job), version, now, age)
             if self.shared:
-                work.lease(self.sharing.of(ref))
+                work.lease(self.rebalancer.of(ref))
             work.bid = self.market.first_bid(work, now)
             work.promised = work.job.gang or self.market.promised(work, now)
-            lane = self.lanes.setdefault(work.job.lane, Lane(work.job))
-            lane.last = work.job
-            lane.seen.append((now - age, work.job.image))
-            log.info("job %s (%s, %d tasks) taken up", ref, work.job.lane, work.job.tasks)
+            job_class = self.job_classes.setdefault(work.job.job_class, JobClass(work.job))
+            job_class.last = work.job
+            job_class.seen.append((now - age, work.job.image))
+            log.info("job %s (%s, %d tasks) taken up", ref, work.job.job_class, work.job.tasks)
             self.wake.set()
         elif ref in self.block.works and (not self.loaded or part[0] != self.number):
             if part[0] == self.number:
-                self.stamps[key] = stamp
+                self.versions[key] = version
             progress = msgspec.json.decode(raw, type=Progress)
             load_progress(self.block.works[ref], part[1], progress, part[0] == self.number)
 
@@ -255,17 +255,17 @@
         )  # fmt: skip
 
     def _seen(self, asked: int, news: bool) -> None:
-        self.looked_at = max(self.looked_at or asked, asked)
+        self.cancellations_read_at = max(self.cancellations_read_at or asked, asked)
 
     def covered(self, since: int, until: int) -> None:
         """Every controller's word of what it confirmed in that time is as good as a look at its
         end, if our own last look reaches to its beginning."""
-        if self.looked_at is not None and since <= self.looked_at:
-            self.looked_at = max(self.looked_at, until)
+        if self.cancellations_read_at is not None and since <= self.cancellations_read_at:
+            self.cancellations_read_at = max(self.cancellations_read_at, until)
 
     def _change(self, change: Change) -> None:
         if change.put is not None:
-            self._take_open(change.put, change.value, change.stamp, now_us())
+            self._take_open(change.put, change.value, change.version, now_us())
         elif change.drop is not None:
             ref, part = split_open(change.drop)
             if part is None:
@@ -274,7 +274,7 @@
     def _relist(self, rows: list[Row]) -> None:
         seen = {split_open(row.key)[0] for row in rows}
         for row in rows:
-            self._take_open(row.key, row.value, row.stamp, now_us())
+            self._take_open(row.key, row.value, row.version, now_us())
         for ref in [ref for ref in self.block.works if ref not in seen]:
             self.close(ref)
 
@@ -284,7 +284,7 @@
             self.block.close_job(ref, now_us())
             self.results.forget(ref)
             for stretch in range(stretch_count(work.job.tasks)):
-                self.stamps.pop(progress_key(ref, self.number, stretch), None)
+                self.versions.pop(progress_key(ref, self.number, stretch), None)
             self.wake.set()
 
     # Reports
@@ -294,12 +294,12 @@
         if not self.acts:
             return None
         now = now_us()
-        if report.baton > self.grant.baton:
+        if report.fencing_token > self.grant.fencing_token:
             return None
         if not self.loaded:
             self.early[report.machine] = now
             return self._renew(self.block.unwanted(report))
-        live = report.baton == self.grant.baton
+        live = report.fencing_token == self.grant.fencing_token
         machine = self.block.machines.get(report.machine)
         if machine is None:
             if report.machine in self.block.gone:
@@ -307,28 +307,30 @@
             if not live:
                 # Nobody told us of it: a hire that was executed late, or a copy from a machine
                 # that an earlier owner returned. It may hold no task, since it is not recorded,
-                # and we believe that it exists once it shows our baton.
+                # and we believe that it exists once it shows our fencing token.
                 return self._renew(self.block.unwanted(report))
             machine = self._meet(report, now)
         elif not machine.recorded and machine.address == "":
             machine.address = report.address
-        wishes = self.block.beat(report, now)
-        if wishes is None:
+        commands = self.block.beat(report, now)
+        if commands is None:
             return None
         if machine.heard_at == now:
             if live:
-                self.reach.heard_at = now
+                self.dispatcher.heard_at = now
                 if not machine.recorded:
-                    self.reach.record(machine)
-            if machine.deaf_since or not machine.synced:
-                self.reach.probe(machine)
+                    self.dispatcher.record(machine)
+            if machine.unreachable_since or not machine.synced:
+                self.dispatcher.probe(machine)
         if self.block.dirty:
             self.wake.set()
-        return self._renew(wishes)
+        return self._renew(commands)
 
-    def _renew(self, wishes: list[Wish]) -> Response:
+    def _renew(self, commands: list[TaskCommand]) -> Response:
         """The answer that renews a worker's lease, with its orders."""
-        return Response(200, encode(Orders(self.grant.baton, [order_of(w) for w in wishes])))
+        return Response(
+            200, encode(Orders(self.grant.fencing_token, [order_of(c) for c in commands]))
+        )
 
     def _meet(self, report: Report, now: int) -> Machine:
         """A machine nobody told us of, such as one from a hire that was executed late."""
@@ -343,7 +345,7 @@
         """Bind waiting tasks to machines soon after anything has changed."""
         planned = ticked = 0
         while True:
-            await woken(self.wake, 0.25)
+            await wait_for_event(self.wake, 0.25)
             now = now_us()
             if now - ticked >= TICK_US:
                 ticked = now
@@ -352,7 +354,7 @@
                 if self.block.dirty or now - planned > PLAN_US:
                     planned = now
                     plan(self.block, now)
-                self.reach.push_all(now)
+                self.dispatcher.push_all(now)
             # Machines come and go many times a second: passes over all of them are spaced, and a
             # large plan leaves three times what it takes to everything else.
             await asyncio.sleep(max(0.04, 3 * (now_us() - now) / US))
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -1,11 +1,11 @@
 """Talk among the controllers: promises that carry an owner over an outage of the state service.
 
-An owner that can't renew its hold asks every other controller to promise not to put anybody in
-its place for a short span. Only one that has lost the state service too promises, so an owner
+An owner that can't renew its session lease asks every other controller not to put anybody in its
+place for a short span. Only one that has lost the state service too promises, so an owner
 that alone is cut off is replaced as usual. The span counts from when the owner asked, on its own
-clock, and only prolongs a right that has not ended yet: once it has, another may own the block.
+clock, and only prolongs a validity that has not ended yet: once it has, another may own the block.
 A controller that has just started, and may have forgotten a promise, waits out the
-longest possible one before it replaces an owner whose hold ran out (see Membership).
+longest possible one before it replaces an owner whose lease ran out (see Membership).
 
 An owner must know the cancellations that users were told of. While it can't look at the state
 service, each answer brings all that the peer has confirmed to anybody since the owner's last look.
@@ -22,12 +22,12 @@
 from basaltlead.clients.base import encode
 from basaltlead.clock import now_us
 from basaltlead.core.cancellations import Cancellations
-from basaltlead.logs import Brake, log
+from basaltlead.logs import LogRateLimiter, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import listen
 from basaltlead.net.netstring import FrameProtocol
 from basaltlead.settings import Peer
-from basaltlead.wire.peers import Ask, Cancelled, Message, Promise
+from basaltlead.wire.peers import Ask, Cancelled, Message, TakeoverDeferral
 
 decoder = msgspec.json.Decoder(Message)
 MAX_LINKS = 16
@@ -45,8 +45,8 @@
         self.protocol: FrameProtocol | None = None
         # When each question was sent, and from when on it asked for cancellations.
         self.asked: dict[int, tuple[int, int | None]] = {}
-        self.promised_until = 0
-        self.promised_incarnation = (
+        self.deferred_until = 0
+        self.deferred_incarnation = (
             ""  # a promise to an earlier incarnation of ours is worth nothing
         )
         self.heard_at = 0  # the last answer, and what it said of the state service
@@ -61,11 +61,11 @@
             return
         self.hub.seq += 1
         member = self.hub.member
-        now, looked_at = now_us(), self.hub.looked_at()
-        self.asked[self.hub.seq] = (now, looked_at)
+        now, cancellations_read_at = now_us(), self.hub.cancellations_read_at()
+        self.asked[self.hub.seq] = (now, cancellations_read_at)
         while len(self.asked) > 20:
             del self.asked[next(iter(self.asked))]
-        blind_us = None if looked_at is None else max(0, now - looked_at)
+        blind_us = None if cancellations_read_at is None else max(0, now - cancellations_read_at)
         self.send(Ask(self.hub.seq, member.name, member.incarnation, span_us, blind_us))
 
     def send(self, message: Message) -> None:
@@ -94,24 +94,24 @@
 
     def _received(self, protocol: FrameProtocol, body: bytes) -> None:
         message = self.hub.read(body)
-        if not isinstance(message, Promise) or message.name != self.peer.member:
+        if not isinstance(message, TakeoverDeferral) or message.name != self.peer.member:
             return
         self.heard_at, self.partitioned = now_us(), message.partitioned
-        if message.incarnation != self.hub.member.incarnation or not self.hub.member.stamp:
+        if message.incarnation != self.hub.member.incarnation or not self.hub.member.version:
             return
-        sent, looked_at = self.asked.pop(message.seq, (None, None))
-        if message.cancelled is not None and sent is not None and looked_at is not None:
+        sent, cancellations_read_at = self.asked.pop(message.seq, (None, None))
+        if message.cancelled is not None and sent is not None and cancellations_read_at is not None:
             self.hub.cancelled(message.cancelled)
             if now_us() - sent <= PROMPT_US:
-                self.covers = (looked_at, sent)
+                self.covers = (cancellations_read_at, sent)
                 self.hub.attest()
-        if now_us() >= self.hub.member.right_until:
-            return  # promises prolong a right; they can't bring back one that somebody may have
+        if now_us() >= self.hub.member.session_valid_until:
+            return  # deferrals prolong a lease; they can't bring back one that somebody may have
         if sent is not None and message.span_us > 0:
             until = sent + message.span_us - message.span_us // 500 - 20_000
-            if self.promised_incarnation != message.incarnation:
-                self.promised_incarnation, self.promised_until = message.incarnation, 0
-            self.promised_until = max(self.promised_until, until)
+            if self.deferred_incarnation != message.incarnation:
+                self.deferred_incarnation, self.deferred_until = message.incarnation, 0
+            self.deferred_until = max(self.deferred_until, until)
             self.hub.count()
 
 
@@ -126,9 +126,9 @@
         self.names = {peer.member for peer in known}
         self.seq = 0
         self.open: set[FrameProtocol] = set()
-        self.brake = Brake()
+        self.log_limiter = LogRateLimiter()
         # Since when our owners can't have seen all cancellations; None without an owner.
-        self.looked_at: Callable[[], int | None] = lambda: None
+        self.cancellations_read_at: Callable[[], int | None] = lambda: None
         self.over: Callable[[str], None] = lambda ref: None  # a job is cancelled
         self.covered: Callable[[int, int], None] = lambda since, until: None
 
@@ -136,7 +136,7 @@
         try:
             return decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
-            if self.brake.ok(now_us()):
+            if self.log_limiter.ok(now_us()):
                 log.info("malformed message of a peer: %s", fault)
             return None
 
@@ -153,8 +153,8 @@
     def _received(self, protocol: FrameProtocol, body: bytes) -> None:
         message = self.read(body)
         if isinstance(message, Ask) and message.name in self.names:
-            span = self.member.promise(message.name, message.incarnation, message.span_us)
-            answer = Promise(
+            span = self.member.defer_takeover(message.name, message.incarnation, message.span_us)
+            answer = TakeoverDeferral(
                 message.seq, self.member.name, message.incarnation, span, self.member.partitioned,
                 self._confirmed(message.blind_us),
             )  # fmt: skip
@@ -193,14 +193,14 @@
         return bool(heard) and all(heard)
 
     def count(self) -> None:
-        """Extend our right to the earliest end among all peers' promises: one that has not
+        """Extend our validity to the earliest end among all peers' deferrals: one that has not
         promised may replace us."""
         incarnation = self.member.incarnation
-        if self.links and all(link.promised_incarnation == incarnation for link in self.links):
-            self.member.vouched_until = min(link.promised_until for link in self.links)
+        if self.links and all(link.deferred_incarnation == incarnation for link in self.links):
+            self.member.deferred_until = min(link.deferred_until for link in self.links)
 
     async def ask(self) -> None:
-        """While our hold can't be renewed, ask for promises: an owner so that it may go on, the
+        """While our lease can't be renewed, ask for deferrals: an owner so that it may go on, the
         others since a controller is as healthy as any while the state service is away for all.
         The load balancer takes its time to trust one again that has called itself unhealthy."""
         while True:
--- a/basaltlead/sharing.py
+++ b/basaltlead/rebalancer.py
@@ -6,22 +6,22 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
-from basaltlead.clients.state import TROUBLE, Conflict, NoHold
+from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired
 from basaltlead.clock import now_us
+from basaltlead.core.block_state import Limits
 from basaltlead.core.leadership import Load, load_key
 from basaltlead.core.model import US, Work
-from basaltlead.core.picture import Limits
-from basaltlead.following import follow
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
 from basaltlead.records import LEASE, OPEN, Lease
+from basaltlead.watching import follow
 from basaltlead.wire.state import Change, Guard, Put, Row
 
 if TYPE_CHECKING:
     from basaltlead.owner import Owner
 
 
-class Sharing:
+class Rebalancer:
     """Runs beside an Owner and ends with it."""
 
     def __init__(self, owner: "Owner") -> None:
@@ -34,13 +34,13 @@
         """The job's tasks that are leased to this block."""
         return self.leases[ref][0].of(self.owner.number) if ref in self.leases else []
 
-    def take(self, key: str, raw: msgspec.Raw, stamp: int) -> None:
+    def take(self, key: str, raw: msgspec.Raw, version: int) -> None:
         ref = key[len(LEASE) :]
         known = self.leases.get(ref)
-        if known is not None and known[1] > stamp:
+        if known is not None and known[1] > version:
             return  # told late: we have changed it ourselves meanwhile
         lease = msgspec.json.decode(raw, type=Lease)
-        self.leases[ref] = (lease, stamp)
+        self.leases[ref] = (lease, version)
         work = self.owner.block.works.get(ref)
         if work is not None and ref not in self.giving:
             work.lease(lease.of(self.owner.number))
@@ -56,11 +56,11 @@
 
     def load(self, rows: list[Row]) -> None:
         for row in rows:
-            self.take(row.key, row.value, row.stamp)
+            self.take(row.key, row.value, row.version)
 
     def _change(self, change: Change) -> None:
         if change.put is not None:
-            self.take(change.put, change.value, change.stamp)
+            self.take(change.put, change.value, change.version)
         elif change.drop is not None:
             self.leases.pop(change.drop[len(LEASE) :], None)
 
@@ -74,10 +74,18 @@
         ref = work.job.ref
         tail = work.spare_tail()
         known = self.leases.get(ref)
-        unsure = any(key[0] == ref for m in self.owner.block.machines.values() for key in m.rest)
-        if tail is None or known is None or ref in self.giving or self.owner.block.risky or unsure:
+        unsure = any(
+            key[0] == ref for m in self.owner.block.machines.values() for key in m.listed_attempts
+        )
+        if (
+            tail is None
+            or known is None
+            or ref in self.giving
+            or self.owner.block.unsynced
+            or unsure
+        ):
             return
-        lease, stamp = known
+        lease, version = known
         low, high = tail
         parts: list[tuple[int, int, int]] = []
         for first, end, block in lease.parts:
@@ -91,19 +99,23 @@
         self.giving.add(ref)
         work.lease(given.of(self.owner.number))
         backoff = Backoff(100_000, 1_000_000, self.owner.member.chance)
-        guards = [*self.owner.guards(), Guard(OPEN + ref, work.stamp), Guard(LEASE + ref, stamp)]
+        guards = [
+            *self.owner.guards(),
+            Guard(OPEN + ref, work.version),
+            Guard(LEASE + ref, version),
+        ]
         try:
             while not self.owner.resigned:
                 try:
-                    stamp = await self.owner.state.multi(guards, [Put(LEASE + ref, given)])
-                    self.leases[ref] = (given, stamp)
+                    version = await self.owner.state.multi(guards, [Put(LEASE + ref, given)])
+                    self.leases[ref] = (given, version)
                     log.info("tasks %d to %d of %s go to block %d", low, high - 1, ref, to)
                     break
                 except Conflict as conflict:
                     if LEASE + ref in conflict.failed or OPEN + ref in conflict.failed:
                         break  # the record is another: the watch tells what it says
                     await backoff.rest()
-                except (Failed, Unavailable, NoHold):
+                except (Failed, Unavailable, SessionLeaseExpired):
                     await backoff.rest()
             row = await self.owner.state.get(LEASE + ref)
         except TROUBLE:
@@ -111,7 +123,7 @@
         finally:
             self.giving.discard(ref)
         if row is not None and ref in self.owner.block.works:
-            self.take(row.key, row.value, row.stamp)
+            self.take(row.key, row.value, row.version)
 
     async def balance(self) -> None:
         """Each round: say how much waits here and how much is free, and hand tasks that wait
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -1,6 +1,6 @@
 """What is kept in the state service, and its way to and from the core's terms.
 
-c/...            members, leader, blocks, the counter of batons (core/leadership)
+c/...            members, leader, blocks, the counter of fencing tokens (core/leadership)
 open/<job>       a job that is accepted and not over; the key is never rewritten
 open/<job>/<n>   results of one stretch of its tasks
 over/<job>       the final state of a job
@@ -72,7 +72,7 @@
 
 def job_of(sent: Submission) -> Job:
     return Job(
-        ref=sent.ref, lane=sent.lane, team=sent.team, gang=sent.shape == "group",
+        ref=sent.ref, job_class=sent.job_class, team=sent.team, gang=sent.shape == "group",
         rank=RANKS[sent.rank], tasks=sent.tasks, cpus=sent.cpus, gpus=sent.gpus,
         memory_gb=sent.memory_gb, image=sent.image, image_gb=sent.image_gb,
         types=None if sent.types is None else frozenset(sent.types), zone=sent.zone,
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from basaltlead.clients.base import Unavailable
-from basaltlead.clients.state import Conflict, NoHold
+from basaltlead.clients.state import Conflict, SessionLeaseExpired
 from basaltlead.clock import now_us
 from basaltlead.core.model import US, Work
 from basaltlead.logs import log
@@ -73,7 +73,7 @@
         except Conflict as conflict:
             log.debug("storing results: %s", conflict)  # cancelled meanwhile: the watch tells
             await asyncio.sleep(0.05)
-        except (Failed, Unavailable, NoHold) as fault:
+        except (Failed, Unavailable, SessionLeaseExpired) as fault:
             log.debug("storing results: %s", fault)
             await asyncio.sleep(0.2)
 
@@ -83,7 +83,7 @@
         for number, indices in list(parts.items()):
             key = progress_key(ref, self.owner.number, number)
             row = progress_of(work, number)
-            await self.owner.put({key: row}, [Guard(OPEN + ref, work.stamp)])
+            await self.owner.put({key: row}, [Guard(OPEN + ref, work.version)])
             self.owner.block.stored(work, indices)
 
     async def _finish(self, work: Work) -> None:
@@ -100,7 +100,7 @@
         room = self.owner.settings.facts.state.txn_ops - 2
         try:
             await self.owner.state.multi(
-                [*self.owner.guards(), Guard(OPEN + ref, work.stamp), Guard(OVER + ref, 0)],
+                [*self.owner.guards(), Guard(OPEN + ref, work.version), Guard(OVER + ref, 0)],
                 [Put(OVER + ref, final), Drop(OPEN + ref), *drops[: max(0, room)]],
             )
         except Conflict as conflict:
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -42,9 +42,9 @@
     gpus_max: Amount = 0.0
 
 
-class Objective(Struct, rename={"lane": "class"}):
+class Objective(Struct, rename={"job_class": "class"}):
     kind: str
-    lane: str = ""
+    job_class: str = ""
     within_s: Amount = 0.0
     share: Amount = 0.0
     times: Amount = 1.0
@@ -132,9 +132,10 @@
         return int(((w.cancel_s - w.lease_s * 1.01) * 0.9 - 1.0) * US)
 
     @property
-    def right_us(self) -> int:
-        """How long a hold lasts. A third of a lease: when an owner is lost, its workers give it up
-        after 4 to 6 s, and find the next owner in place before their leases run out."""
+    def session_lease_us(self) -> int:
+        """How long a session lease lasts. A third of a worker's lease: when an owner is lost, its
+        workers give it up after 4 to 6 s, and find the next owner in place before their leases
+        run out."""
         wished = self.operator.right_s
         if wished is None:
             wished = self.facts.workers.lease_s * 0.3
@@ -164,7 +165,7 @@
     settings: Settings = _convert(data, Settings, path)
     if operator_path is not None:
         settings.operator = _load_operator(operator_path)
-    if settings.right_us < US // 2:
+    if settings.session_lease_us < US // 2:
         raise SettingsError(f"{path}: facts.workers.cancel_s: too short for lease_s")
     return settings
 
--- a/basaltlead/frontdesk.py
+++ b/basaltlead/user_api.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from basaltlead.clients.base import Unavailable, encode
-from basaltlead.clients.state import Conflict, NoHold, State
+from basaltlead.clients.state import Conflict, SessionLeaseExpired, State
 from basaltlead.clock import now_us, wall_us
+from basaltlead.core.block_state import Limits
 from basaltlead.core.cancellations import Cancellations
 from basaltlead.core.model import Kind
-from basaltlead.core.picture import Limits
-from basaltlead.logs import Brake, log
+from basaltlead.logs import LogRateLimiter, log
 from basaltlead.membership import Membership
 from basaltlead.net.http import Failed, Request, Response
 from basaltlead.net.limiter import Limiter
@@ -49,7 +49,7 @@
     return Response(status, encode(JobAnswer(ref, stage, done, running)))
 
 
-class FrontDesk:
+class UserApi:
     def __init__(
         self,
         state: State,
@@ -69,7 +69,7 @@
         self.finals: dict[str, Final] = {}  # final answers, the only ones that may be cached
         self.cancellations = cancellations
         self.cancelled: Callable[[str], None] = lambda ref: None
-        self.brake = Brake()
+        self.log_limiter = LogRateLimiter()
 
     async def handle(self, request: Request) -> Response:
         sent: Submission | None = None
@@ -88,8 +88,8 @@
                 return await (self.submit(sent) if sent else self._route(request))
         except TimeoutError:
             return refusal(503, "no answer in time", LATER)
-        except (Failed, Unavailable, Conflict, NoHold) as fault:
-            if self.brake.ok(started):
+        except (Failed, Unavailable, Conflict, SessionLeaseExpired) as fault:
+            if self.log_limiter.ok(started):
                 log.info("%s %s: %s", request.method, request.path, fault)
             return refusal(503, "not sure right now", LATER)
         finally:
@@ -231,7 +231,7 @@
             drops = drops[: self.txn_ops - 1]
             try:
                 await self.state.multi(
-                    [self.member.guard(), Guard(OPEN + ref, rows[0].stamp), Guard(OVER + ref, 0)],
+                    [self.member.guard(), Guard(OPEN + ref, rows[0].version), Guard(OVER + ref, 0)],
                     [Put(OVER + ref, final), *drops],
                 )
             except Conflict as conflict:
--- a/basaltlead/wire/peers.py
+++ b/basaltlead/wire/peers.py
@@ -14,7 +14,7 @@
     blind_us: int | None = None
 
 
-class Promise(
+class TakeoverDeferral(
     Struct, tag="promise", tag_field="is", rename={"partitioned": "lonely", "incarnation": "life"}
 ):
     """The answer; a span of 0 is a refusal."""
@@ -34,4 +34,4 @@
     refs: list[str]
 
 
-Message = Ask | Promise | Cancelled
+Message = Ask | TakeoverDeferral | Cancelled
--- a/basaltlead/wire/state.py
+++ b/basaltlead/wire/state.py
@@ -6,10 +6,10 @@
 from msgspec import Struct
 
 
-class Row(Struct, rename={"key": "Path", "value": "V", "stamp": "Stamp"}):
+class Row(Struct, rename={"key": "Path", "value": "V", "version": "Stamp"}):
     key: str
     value: msgspec.Raw
-    stamp: int
+    version: int
 
 
 class Rows(Struct, rename={"rows": "Rows", "more": "HasNext", "revision": "Ledger"}):
@@ -18,15 +18,17 @@
     more: bool = False
 
 
-class Guard(Struct, rename={"key": "Path", "stamp": "Stamp"}):
+class Guard(Struct, rename={"key": "Path", "version": "Stamp"}):
     key: str
-    stamp: int
+    version: int
 
 
-class Put(Struct, omit_defaults=True, rename={"key": "Put", "value": "V", "hold": "Permit"}):
+class Put(
+    Struct, omit_defaults=True, rename={"key": "Put", "value": "V", "session_lease": "Permit"}
+):
     key: str
     value: Any
-    hold: int | None = None
+    session_lease: int | None = None
 
 
 class Drop(Struct, rename={"key": "Drop"}):
@@ -43,12 +45,12 @@
     failed: list[str] = []
 
 
-class Hold(Struct, rename={"hold": "Permit"}):
-    hold: int
+class SessionLease(Struct, rename={"session_lease": "Permit"}):
+    session_lease: int
 
 
-class Change(Struct, rename={"put": "Put", "drop": "Drop", "value": "V", "stamp": "Stamp"}):
-    stamp: int
+class Change(Struct, rename={"put": "Put", "drop": "Drop", "value": "V", "version": "Stamp"}):
+    version: int
     put: str | None = None
     drop: str | None = None
     value: msgspec.Raw = msgspec.Raw(b"null")
--- a/basaltlead/wire/users.py
+++ b/basaltlead/wire/users.py
@@ -12,14 +12,14 @@
 
 
 class Submission(Struct, frozen=True, rename={
-    "ref": "Ref", "lane": "Lane", "team": "Crew", "shape": "Shape", "rank": "Rank",
+    "ref": "Ref", "job_class": "Lane", "team": "Crew", "shape": "Shape", "rank": "Rank",
     "tasks": "Pieces", "cpus": "Cores", "gpus": "Gpus", "memory_gb": "MemoryGb",
     "image": "Mould", "image_gb": "PullGb", "types": "Grades", "zone": "Yard",
     "one_zone": "OneZone", "apart": "Apart", "spot": "Loaners", "guess_s": "GuessS",
     "mark_every_s": "MarkEveryS", "mark_s": "MarkS", "due_s": "DueS",
 }):  # fmt: skip
     ref: Annotated[str, Meta(pattern=REF)]
-    lane: Text
+    job_class: Text
     team: Text
     shape: Literal["batch", "group", "service"]
     rank: Literal["production", "high", "standard", "best_effort"]
--- a/basaltlead/wire/workers.py
+++ b/basaltlead/wire/workers.py
@@ -20,7 +20,7 @@
 
 class Report(Struct, rename={"machine": "Anvil", "address": "Addr", "type": "Grade",
                              "zone": "Yard", "spot": "Loaners", "session": "Shift",
-                             "tick": "Tick", "baton": "Baton", "recall_s": "RecallS",
+                             "tick": "Tick", "fencing_token": "Baton", "recall_s": "RecallS",
                              "tasks": "Pieces"}):  # fmt: skip
     machine: Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9_.-]+\Z")]
     address: Annotated[str, Meta(max_length=40, pattern=r"^[0-9.]+:[0-9]+\Z")]
@@ -29,7 +29,7 @@
     spot: bool
     session: Whole
     tick: Whole
-    baton: Whole
+    fencing_token: Whole
     tasks: list[Listed]
     recall_s: float | None = None
 
@@ -42,17 +42,17 @@
     grace_s: float | None = None
 
 
-class Orders(Struct, rename={"baton": "Baton", "orders": "Orders"}):
+class Orders(Struct, rename={"fencing_token": "Baton", "orders": "Orders"}):
     """The answer to a report."""
 
-    baton: int
+    fencing_token: int
     orders: list[Order]
 
 
-class Command(Struct, rename={"baton": "Baton", "session": "Shift", "orders": "Orders"}):
+class Command(Struct, rename={"fencing_token": "Baton", "session": "Shift", "orders": "Orders"}):
     """The body of /do."""
 
-    baton: int
+    fencing_token: int
     session: int
     orders: list[Order]
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -22,7 +22,7 @@
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
-        self.ledger = 0
+        self.revision = 0
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
         self.log: list[dict[str, Any]] = []
         self.holds: dict[int, tuple[float, float]] = {}
@@ -55,10 +55,10 @@
         self.holds.pop(hold, None)
         gone = [key for key, (_, _, on) in self.keys.items() if on == hold]
         if gone:
-            self.ledger += 1
+            self.revision += 1
             for key in gone:
                 del self.keys[key]
-                self.log.append({"Drop": key, "Stamp": self.ledger})
+                self.log.append({"Drop": key, "Stamp": self.revision})
             self._tell()
 
     def _tell(self) -> None:
@@ -94,7 +94,7 @@
         if path.startswith("/kv/"):
             found = self.keys.get(path[4:])
             if found is None:
-                return reply(404, {"Ledger": self.ledger})
+                return reply(404, {"Ledger": self.revision})
             return reply(200, {"Path": path[4:], "V": found[0], "Stamp": found[1]})
         if path == "/multi":
             if self._is_late(body):
@@ -120,7 +120,7 @@
             k for k in self.keys if k.startswith(query["Starts"]) and k > query.get("Since", "")
         )
         rows = [{"Path": k, "V": self.keys[k][0], "Stamp": self.keys[k][1]} for k in names[:most]]
-        return reply(200, {"Rows": rows, "HasNext": len(names) > most, "Ledger": self.ledger})
+        return reply(200, {"Rows": rows, "HasNext": len(names) > most, "Ledger": self.revision})
 
     def _multi(self, body: dict[str, Any]) -> Response:
         failed = [
@@ -128,23 +128,23 @@
             if self.keys.get(guard["Path"], (None, 0, None))[1] != guard["Stamp"]
         ]  # fmt: skip
         if failed:
-            return reply(409, {"failed": failed, "Ledger": self.ledger})
+            return reply(409, {"failed": failed, "Ledger": self.revision})
         changes = body.get("Apply", [])
         for change in changes:
             if change.get("Permit") is not None and change["Permit"] not in self.holds:
                 return reply(400, {"error": "no such lease"})
         if changes:
-            self.ledger += 1
+            self.revision += 1
         for change in changes:
             self.writes += 1
             if "Put" in change:
-                entry = (change["V"], self.ledger, change.get("Permit"))
+                entry = (change["V"], self.revision, change.get("Permit"))
                 self.keys[change["Put"]] = entry
-                self.log.append({"Put": change["Put"], "V": change["V"], "Stamp": self.ledger})
+                self.log.append({"Put": change["Put"], "V": change["V"], "Stamp": self.revision})
             elif self.keys.pop(change["Drop"], None) is not None:
-                self.log.append({"Drop": change["Drop"], "Stamp": self.ledger})
+                self.log.append({"Drop": change["Drop"], "Stamp": self.revision})
         self._tell()
-        return reply(200, {"Ledger": self.ledger})
+        return reply(200, {"Ledger": self.revision})
 
     async def _changes(self, query: dict[str, str], host: str) -> Response:
         end = self.loop.time() + int(query.get("HoldMs", "0")) / 1000
@@ -159,7 +159,7 @@
                     and change.get("Put", change.get("Drop")).startswith(query["Starts"])
                 ]  # fmt: skip
                 if log or self.loop.time() >= end:
-                    return reply(200, {"Ledger": self.ledger, "Log": log})
+                    return reply(200, {"Ledger": self.revision, "Log": log})
             try:
                 async with asyncio.timeout(max(0.01, min(0.5, end - self.loop.time()))):
                     await self.event.wait()
@@ -259,7 +259,7 @@
         self.born = self.loop.time()
         self.session = 1
         self.tick = 0
-        self.baton = 0
+        self.fencing_token = 0
         self.recall: float | None = None
         self.up = False
         self.hung = False
@@ -379,14 +379,14 @@
         return {
             "Anvil": self.name, "Addr": self.address, "Grade": self.kind["Label"],
             "Yard": self.zone, "Loaners": self.spot, "Shift": self.session, "Tick": self.tick,
-            "Baton": self.baton, "RecallS": recall, "Pieces": tasks,
+            "Baton": self.fencing_token, "RecallS": recall, "Pieces": tasks,
         }  # fmt: skip
 
     def _obey(self, answer: dict[str, Any], sent: float, session: int) -> None:
-        if session != self.session or answer.get("Baton", -1) < self.baton or self.hung:
+        if session != self.session or answer.get("Baton", -1) < self.fencing_token or self.hung:
             return
-        if answer["Baton"] > self.baton:
-            self.baton = answer["Baton"]
+        if answer["Baton"] > self.fencing_token:
+            self.fencing_token = answer["Baton"]
             self.change.set()
         self.lease_from = sent
         self._orders(answer["Orders"])
@@ -488,10 +488,10 @@
         if request.path == "/status":
             return reply(200, self.report())
         body = json.loads(request.body)
-        if body["Baton"] < self.baton or body["Shift"] != self.session:
+        if body["Baton"] < self.fencing_token or body["Shift"] != self.session:
             return reply(409, self.report())
-        if body["Baton"] > self.baton:
-            self.baton = body["Baton"]
+        if body["Baton"] > self.fencing_token:
+            self.fencing_token = body["Baton"]
             self.change.set()
         self._orders(body["Orders"])
         while self.answers_lost and body["Orders"]:
@@ -866,7 +866,7 @@
 
     def job(self, number: int, **fields: Any) -> dict[str, Any]:
         job = {
-            "Ref": f"req-{number:06d}", "Lane": "lane", "Crew": "red", "Shape": "batch",
+            "Ref": f"req-{number:06d}", "Lane": "reports", "Crew": "red", "Shape": "batch",
             "Rank": "standard", "Pieces": 1, "Cores": 1.0, "Gpus": 0.0, "MemoryGb": 1.0,
             "Mould": "img", "PullGb": 0.1, "Grades": None, "Yard": None, "OneZone": False,
             "Apart": False, "Loaners": True, "GuessS": 3.0, "MarkEveryS": 0.0, "MarkS": 0.0,
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -3,8 +3,8 @@
 import pytest
 
 from basaltlead.core.block import Block
+from basaltlead.core.block_state import Limits, Timing
 from basaltlead.core.model import US, Attempt, Job, Kind, Machine, Work
-from basaltlead.core.picture import Limits, Timing
 from basaltlead.core.planning import plan
 from basaltlead.wire.workers import Listed, Report
 
@@ -14,7 +14,7 @@
 
 def a_job(number: int = 1, **fields: object) -> Job:
     values: dict[str, object] = {
-        "ref": f"req-{number:06d}", "lane": "lane", "team": "red", "gang": False, "rank": 1,
+        "ref": f"req-{number:06d}", "job_class": "reports", "team": "red", "gang": False, "rank": 1,
         "tasks": 1, "cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0, "image": "img",
         "image_gb": 1.0, "types": None, "zone": None, "one_zone": False, "apart": False,
         "spot": True, "guess_us": 10 * US, "mark_every_us": 0, "mark_s": 0.0, "due_us": None,
@@ -23,7 +23,7 @@
 
 
 class Story:
-    """A block with baton 7, granted at revision 100, and one synced machine, m-0."""
+    """A block with fencing token 7, granted at revision 100, and one synced machine, m-0."""
 
     def __init__(self, machines: int = 1, limits: dict[str, Limits] | None = None) -> None:
         self.now = 1000 * US
@@ -43,19 +43,26 @@
         return machine
 
     def report(
-        self, name: str, *tasks: Listed, baton: int = 7, session: int = 1, tick: int | None = None
+        self,
+        name: str,
+        *tasks: Listed,
+        fencing_token: int = 7,
+        session: int = 1,
+        tick: int | None = None,
     ) -> Report:
         if tick is None:
             tick = self.ticks[name] = self.ticks.get(name, 0) + 1
-        return Report(name, "10.1.0.1:9", "k", "a", False, session, tick, baton, list(tasks))
+        return Report(
+            name, "10.1.0.1:9", "k", "a", False, session, tick, fencing_token, list(tasks)
+        )
 
     def beat(self, name: str, *tasks: Listed, **fields: int) -> list[tuple[str, str]] | None:
         """The orders, as (verb, task)."""
-        wishes = self.block.beat(self.report(name, *tasks, **fields), self.now)
-        return None if wishes is None else [(w.verb, f"{w.ref}/{w.index}") for w in wishes]
+        commands = self.block.beat(self.report(name, *tasks, **fields), self.now)
+        return None if commands is None else [(w.verb, f"{w.ref}/{w.index}") for w in commands]
 
-    def submit(self, number: int = 1, stamp: int = 200, **fields: object) -> Work:
-        work = self.block.add_job(a_job(number, **fields), stamp, self.now)
+    def submit(self, number: int = 1, version: int = 200, **fields: object) -> Work:
+        work = self.block.add_job(a_job(number, **fields), version, self.now)
         plan(self.block, self.now)
         return work
 
@@ -107,7 +114,7 @@
     name = attempt.machine.name
     story.beat(name)
     held = story.report(name, listed(attempt, "running"))
-    story.now += TIMING.lapse_us + 1
+    story.now += TIMING.lease_expiry_us + 1
     story.block.tick(story.now)
     assert attempt.machine.lost and not work.live
     assert story.block.beat(held, story.now) is None  # it comes minutes later
@@ -122,7 +129,7 @@
     story.now += TIMING.lease_us
     story.block.tick(story.now)
     assert work.live[0] is attempt
-    story.now += TIMING.lapse_us - TIMING.lease_us + 1
+    story.now += TIMING.lease_expiry_us - TIMING.lease_us + 1
     story.block.tick(story.now)
     assert not work.live
 
@@ -137,11 +144,11 @@
     assert not work.live and work.waiting == 1
 
 
-def test_a_report_without_our_baton_is_no_picture_of_the_machine() -> None:
+def test_a_report_without_our_fencing_token_is_no_picture_of_the_machine() -> None:
     story = Story(machines=0)
     story.add("m-9", loaded=True)
-    work = story.submit(stamp=50)  # accepted before the block was ours
-    assert story.beat("m-9", baton=6) == []  # may still get orders of the old owner
+    work = story.submit(version=50)  # accepted before the block was ours
+    assert story.beat("m-9", fencing_token=6) == []  # may still get orders of the old owner
     story.add("m-8")
     story.beat("m-8")
     plan(story.block, story.now)
@@ -153,9 +160,9 @@
 def test_jobs_accepted_after_the_grant_do_not_wait_for_silent_machines() -> None:
     story = Story(machines=1)
     story.add("m-9", loaded=True)
-    old, new = story.submit(1, stamp=50), story.submit(2, stamp=150)
+    old, new = story.submit(1, version=50), story.submit(2, version=150)
     assert not old.live and new.live
-    story.now += TIMING.lapse_us + 1
+    story.now += TIMING.lease_expiry_us + 1
     story.beat("m-0")
     story.block.tick(story.now)  # m-9 has been silent past its lease
     plan(story.block, story.now)
@@ -166,8 +173,8 @@
     story = Story()
     work = story.submit()
     machine = story.block.machines["m-0"]
-    wishes, flown = story.block.direct(machine, story.now)
-    assert [w.verb for w in wishes] == ["run"]
+    commands, flown = story.block.direct(machine, story.now)
+    assert [w.verb for w in commands] == ["run"]
     assert story.beat("m-0") == []  # on its way: not sent twice
     assert work.live, "a report that does not list it proves nothing"
     story.block.landed(flown, None)
@@ -286,14 +293,14 @@
     """Its answer renews the lease, and may be the last that arrives."""
     story = Story()
     story.add("m-9", loaded=True)
-    story.submit(number=2, stamp=50)
+    story.submit(number=2, version=50)
     tasks = [
         Listed("req-000001/0", 5, "running"), Listed("req-000001/1", 6, "ended", "done"),
         Listed("req-000002/0", 7, "running"),
     ]  # fmt: skip
-    assert story.beat("m-9", *tasks, baton=6) == [("halt", "req-000001/0")]
+    assert story.beat("m-9", *tasks, fencing_token=6) == [("halt", "req-000001/0")]
     story.block.close_job("req-000002", story.now)
-    assert ("halt", "req-000002/0") in (story.beat("m-9", *tasks, baton=6) or [])
+    assert ("halt", "req-000002/0") in (story.beat("m-9", *tasks, fencing_token=6) or [])
 
 
 def test_a_machine_that_was_silent_for_half_a_lease_gets_nothing_new() -> None:
@@ -362,8 +369,8 @@
     assert story.block.beat(report, story.now) == []  # there is time: it goes on
     report = story.report("m-0", listed(attempt, "running"))
     report.recall_s = 7.0
-    wishes = story.block.beat(report, story.now)
-    assert wishes and wishes[0].verb == "halt" and wishes[0].grace_s == 5.0
+    commands = story.block.beat(report, story.now)
+    assert commands and commands[0].verb == "halt" and commands[0].grace_s == 5.0
 
 
 def test_a_guarantee_is_honoured_against_work_beyond_another_teams_own() -> None:
@@ -422,7 +429,7 @@
     machine = story.block.machines["m-0"]
     _, flown = story.block.direct(machine, story.now)
     story.block.landed(flown, None)
-    story.block.doubt(machine, story.now)
+    story.block.suspect(machine, story.now)
     assert not machine.usable(story.now)
     story.beat("m-0")
     assert not machine.usable(story.now)  # that a report arrives shows nothing of the way back
@@ -430,39 +437,41 @@
     assert machine.usable(story.now)
 
 
-def test_a_machine_that_never_shows_the_baton_does_not_hold_up_older_jobs_for_ever() -> None:
+def test_a_machine_that_never_shows_the_fencing_token_does_not_hold_up_older_jobs_for_ever() -> (
+    None
+):
     """After a takeover a deaf machine, or copies of a dead one's reports, keep arriving."""
     story = Story()
     story.add("m-9", loaded=True)
-    work = story.submit(stamp=50)
+    work = story.submit(version=50)
     assert not work.live
     for tick in range(1, 40):
         story.now += US
-        story.beat("m-9", Listed("req-000001/0", 5, "running"), baton=6, tick=tick)
+        story.beat("m-9", Listed("req-000001/0", 5, "running"), fencing_token=6, tick=tick)
         story.beat("m-0")
         story.block.tick(story.now)
         plan(story.block, story.now)
         if work.live:
             break
     waited = story.now - story.block.took_at
-    assert TIMING.lapse_us < waited <= TIMING.lease_us + TIMING.lapse_us + 2 * US
+    assert TIMING.lease_expiry_us < waited <= TIMING.lease_us + TIMING.lease_expiry_us + 2 * US
     assert work.live[0].machine.name == "m-0"
 
 
 def test_copies_of_its_reports_do_not_bring_back_a_machine_that_was_lost() -> None:
     story = Story()
     lost = story.add("m-9", loaded=True)
-    story.now += TIMING.lapse_us + 1
+    story.now += TIMING.lease_expiry_us + 1
     story.beat("m-0")
     story.block.tick(story.now)
     assert lost.lost
     story.submit()
-    assert story.beat("m-9", Listed("req-000001/0", 5, "running"), baton=6, session=3) == []
+    assert story.beat("m-9", Listed("req-000001/0", 5, "running"), fencing_token=6, session=3) == []
     # One of a job that is over must go, whoever listens; that proves no more than the other.
     over = Listed("req-000009/0", 5, "running")
-    assert story.beat("m-9", over, baton=6, session=3) == [("halt", "req-000009/0")]
+    assert story.beat("m-9", over, fencing_token=6, session=3) == [("halt", "req-000009/0")]
     assert lost.lost and not lost.up and not lost.attempts and not lost.heard_at
-    story.beat("m-9", session=4, tick=1)  # it shows our baton: it lives
+    story.beat("m-9", session=4, tick=1)  # it shows our fencing token: it lives
     assert not lost.lost and lost.synced
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """What is rented for what waits."""
 
 from basaltlead.core import fleet
-from basaltlead.core.fleet import Need, Offer
+from basaltlead.core.fleet import Demand, Offer
 from basaltlead.core.model import US
 from tests.fakes import World
 from tests.test_block import KIND, Story, a_job
@@ -15,7 +15,7 @@
     would need so long for what waits."""
     story = Story(machines=0)
     work = story.block.add_job(a_job(tasks=40), 200, story.now)
-    needs = [Need(work, 40, drain_us)]
+    needs = [Demand(work, 40, drain_us)]
     return [offer.spot for offer in fleet.size(needs, [], [], {"k": KIND}, offers, {}, 12).hires]
 
 
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -6,7 +6,7 @@
 
 from basaltlead.clock import now_us
 from basaltlead.core.model import Machine
-from basaltlead.reach import Reach
+from basaltlead.dispatcher import WorkerDispatcher
 from basaltlead.wire.workers import Command
 from tests.fakes import FakeWorker, World
 from tests.world import HOST, Loop, play
@@ -133,17 +133,17 @@
         name = await world.busy(1, 60.0)
         owner = world.parts[name].owners[0]
         (live,) = [m for m in owner.block.machines.values() if m.attempts]
-        owner.reach = Reach(owner)
-        for number in range(2 * owner.reach.workers.most):
+        owner.dispatcher = WorkerDispatcher(owner)
+        for number in range(2 * owner.dispatcher.workers.most):
             silent = Machine(f"m-9{number:05d}", live.kind, "b", False, now_us())
             silent.address = f"10.1.3.{number}:9000"
             world.net.cut(HOST.get(), f"10.1.3.{number}")  # this story asks from there
             owner.block.add_machine(silent)
-            owner.reach.probe(silent)
+            owner.dispatcher.probe(silent)
         await asyncio.sleep(0.1)
         asked = loop.time()
-        command = Command(owner.grant.baton, live.session, [])
-        assert (await owner.reach.workers.command(live.address, command))[0]
+        command = Command(owner.grant.fencing_token, live.session, [])
+        assert (await owner.dispatcher.workers.command(live.address, command))[0]
         assert loop.time() - asked < 0.1
         world.verdict()
 
@@ -233,7 +233,7 @@
         assert owner.block.ratio == {}  # nobody here saw the whole run of a task
         await world.submit(world.job(2, Pieces=3, RunS=20.0, GuessS=20.0))
         await world.until_done("req-000002")
-        assert 0.9 <= owner.block.ratio["lane"] <= 1.1
+        assert 0.9 <= owner.block.ratio["reports"] <= 1.1
         world.verdict()
 
     play(story)
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -1,9 +1,9 @@
 """Bids: what moves them, and what a job that can keep no promise any more may bid."""
 
 from basaltlead.core.block import Block
+from basaltlead.core.block_state import Limits, Timing
 from basaltlead.core.market import Market, Promises, Terms
 from basaltlead.core.model import US, Job, Kind, Machine, Work
-from basaltlead.core.picture import Limits, Timing
 from basaltlead.settings import Objective
 from tests.test_block import a_job
 
@@ -20,7 +20,7 @@
 
 def test_a_job_is_due_by_the_first_promise_that_it_can_still_keep() -> None:
     market = _market(
-        Objective("deadline", "lane", times=1.5), Objective("deadline", "lane", times=1.0)
+        Objective("deadline", "reports", times=1.5), Objective("deadline", "reports", times=1.0)
     )
     work = _work(a_job(tasks=4, due_us=100 * US, guess_us=20 * US))
     assert market.due(work, 0).at == 100 * US
@@ -32,7 +32,8 @@
 
 def test_tasks_that_must_start_are_due_a_run_later() -> None:
     market = _market(
-        Objective("wait", "lane", within_s=60.0), Objective("finished", "lane", within_s=300.0)
+        Objective("wait", "reports", within_s=60.0),
+        Objective("finished", "reports", within_s=300.0),
     )
     work = _work(a_job(tasks=4, guess_us=20 * US))
     assert market.due(work, 0).at == 80 * US
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -5,14 +5,14 @@
 import pytest
 
 from basaltlead.core.cancellations import Cancellations
-from basaltlead.core.leadership import Claim, Grant, right_end
+from basaltlead.core.leadership import Claim, Grant, session_validity_end
 from basaltlead.wire.peers import Ask
 from tests.fakes import World
 from tests.world import Loop, play
 
 
 def test_a_right_ends_before_its_hold_does_on_any_clock() -> None:
-    assert right_end(1_000_000, 5_000_000) < 1_000_000 + 5_000_000 * 0.999
+    assert session_validity_end(1_000_000, 5_000_000) < 1_000_000 + 5_000_000 * 0.999
 
 
 def test_an_outage_longer_than_a_right_is_ridden_through_on_promises() -> None:
@@ -103,11 +103,11 @@
         await world.until(lambda: world.owner() is not None)
         member = world.parts["node-0"].member
         incarnation = member.cluster.members["node-1"][0].incarnation
-        assert member.promise("node-1", incarnation, 1_000_000) == 0
+        assert member.defer_takeover("node-1", incarnation, 1_000_000) == 0
         world.state.down = True
         await asyncio.sleep(member.ttl_us / 1e6)
-        assert member.promise("node-1", "an earlier incarnation", 1_000_000) == 0
-        span = member.promise("node-1", incarnation, 10**12)
+        assert member.defer_takeover("node-1", "an earlier incarnation", 1_000_000) == 0
+        span = member.defer_takeover("node-1", incarnation, 10**12)
         assert 0 < span <= member.ttl_us
         assert Ask(1, "node-1", "incarnation", 5).span_us == 5
 
@@ -129,7 +129,7 @@
         world.state.down = True
         await asyncio.sleep(member.ttl_us / 2e6)
         member.cluster.members["node-x"] = (Claim("node-x", "incarnation"), 1)
-        assert member.promise("node-x", "incarnation", member.ttl_us) > 0
+        assert member.defer_takeover("node-x", "incarnation", member.ttl_us) > 0
         del member.cluster.members["node-x"]  # its hold has ended
         assert not member.may_replace(gone)
         assert member.may_replace(
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,9 +8,9 @@
 import pytest
 
 from basaltlead.core import demand, fleet, planning
-from basaltlead.core.fleet import Need, Offer
+from basaltlead.core.block_state import Limits
+from basaltlead.core.fleet import Demand, Offer
 from basaltlead.core.model import US, Machine, Room, Work
-from basaltlead.core.picture import Limits
 from tests.test_block import KIND, TIMING, Story, a_job, listed
 
 MACHINES = 930
@@ -90,7 +90,7 @@
     story = _full_of_arrays()
     works = list(story.block.works.values())
     running = sum(len(work.live) for work in works)
-    needs = [Need(work, work.remaining) for work in works]
+    needs = [Demand(work, work.remaining) for work in works]
     machines = list(story.block.machines.values())
     count = Counted(monkeypatch, (Room, "fits"), (Room, "holds"), (fleet, "allowed"))
     fleet.size(needs, [], machines, {"k": KIND}, {}, {}, 12)
@@ -117,7 +117,7 @@
         if machine.attempts and step % 4 == 0:
             story.block.stop_softly(chance.choice(list(machine.attempts.values())))
         if step % 15 == 14:
-            story.now += TIMING.lapse_us
+            story.now += TIMING.lease_expiry_us
             story.block.tick(story.now)
         planning.plan(story.block, story.now)
         for one in story.block.machines.values():
@@ -150,7 +150,7 @@
     planning.plan(story.block, story.now)
     works = list(story.block.works.values())
     machines: list[Machine] = list(story.block.machines.values())
-    needs = [Need(work, work.remaining) for work in works]
+    needs = [Demand(work, work.remaining) for work in works]
     offers: dict[Offer, int | None] = {Offer("k", zone, False): None for zone in "ab"}
     count = Counted(monkeypatch, (Room, "fits"), (Room, "holds"), (fleet, "allowed"))
     plan = fleet.size(needs, [], machines, {"k": KIND}, offers, {}, 12)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -266,7 +266,7 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         await world.busy(1, 60.0)
-        desk = world.parts["node-0"].desk
+        desk = world.parts["node-0"].user_api
         desk.state.requests.full_at = loop.time() + 60.0
         bad = await desk.handle(Request("POST", "/api/jobs", "", b"[]"))
         assert bad.status == 400  # malformed is told apart, and not asked again
@@ -370,7 +370,7 @@
         halt = Order("halt", "req-000001/0", attempt.token, 0.0)
         workers = Workers(most=1)
         async with workers.calls:
-            command = Command(owner.grant.baton, machine.session, [halt])
+            command = Command(owner.grant.fencing_token, machine.session, [halt])
             asked = loop.create_task(workers.command(machine.address, command, lambda: owner.acts))
             await asyncio.sleep(0.1)
             owner.resigned = True
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -135,7 +135,7 @@
         await world.until_done("req-000003")
         now = world.owner()
         assert now is not None
-        ratio = world.parts[now].owners[0].block.ratio.get("lane", 1.0)
+        ratio = world.parts[now].owners[0].block.ratio.get("reports", 1.0)
         assert 0.3 < ratio < 3.0
         world.verdict()
 
