--- /dev/null
+++ b/tests/fakes/cloud.py
@@ -0,0 +1,84 @@
+"""A stand-in for the cloud, by its protocol."""
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+from basaltlead.net.http import Request, Response, Server
+from tests.fakes.replies import reply
+from tests.fakes.worker import FakeWorker
+
+if TYPE_CHECKING:
+    from tests.fakes.world import World
+
+
+class FakeCloud:
+    """Rents FakeWorkers; its list lags."""
+
+    HOST = "10.2.0.2"
+    ADDRESS = "10.2.0.2:8443"
+    TYPES = (
+        {"Label": "small", "Cores": 4, "Gpus": 0, "MemoryGb": 16, "LocalGb": 50, "Rate": 0.2,
+         "PullGbPerS": 1.0, "MarketPrice": 0.1, "ReadyS": 5, "Yards": ["a", "b"]},
+        {"Label": "large", "Cores": 16, "Gpus": 2, "MemoryGb": 64, "LocalGb": 50, "Rate": 0.9,
+         "PullGbPerS": 1.0, "MarketPrice": 0.4, "ReadyS": 5, "Yards": ["a", "b"]},
+    )  # fmt: skip
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.hires: dict[str, list[str]] = {}
+        self.machines: dict[str, FakeWorker] = {}
+        self.count = 0
+        self.capacity = 12
+        self.page = 500  # rows of a page of the list at most
+        self.lag = 2.0  # how old a page of the list is, at least; some are twice that old
+        self.mute = 0  # that many hires will be executed without an answer
+        self.past: dict[str, tuple[float, float, dict[str, Any]]] = {}  # born, gone, row
+
+    async def start(self) -> None:
+        await Server(self.handle, 1000).start(self.ADDRESS)
+
+    async def handle(self, request: Request) -> Response:
+        await asyncio.sleep(0.02)
+        path = request.path
+        if path == "/machine_types":
+            return reply(200, {"Grades": list(self.TYPES)})
+        if path == "/machines" and request.method == "GET":
+            return self._list({k: v[0] for k, v in parse_qs(request.query).items()})
+        body = json.loads(request.body)
+        if path == "/machines/delete":
+            for name in body["Anvils"]:
+                worker = self.machines.pop(name, None)
+                if worker is not None:
+                    self.past[name] = (worker.born, self.world.loop.time(), worker.listed())
+                    worker.stop()
+            return reply(200, {})
+        if body["Hire"] not in self.hires:
+            free = min(body["Number"], self.capacity - len(self.machines))
+            if free <= 0:
+                return reply(503, {"error": "no capacity"})
+            names = []
+            for _ in range(free):
+                name = f"m-{self.count:06d}"
+                self.count += 1
+                kind = next(t for t in self.TYPES if t["Label"] == body["Grade"])
+                self.machines[name] = FakeWorker(
+                    self.world, name, kind, body["Yard"], body["Loaners"]
+                )
+                names.append(name)
+            self.hires[body["Hire"]] = names
+        if self.mute:
+            self.mute -= 1
+            await asyncio.sleep(30)
+        return reply(200, {"Anvils": self.hires[body["Hire"]]})
+
+    def _list(self, query: dict[str, str]) -> Response:
+        """Each page shows the machines of a moment of its own: new ones are missing, and those
+        that are gone still stand there."""
+        at = self.world.loop.time() - self.lag * self.world.chance.uniform(1.0, 2.0)
+        rows = {name: w.listed() for name, w in self.machines.items() if w.born <= at}
+        rows |= {name: row for name, (born, gone, row) in self.past.items() if born <= at < gone}
+        names = sorted(name for name in rows if name > query.get("Since", ""))
+        shown = names[: min(self.page, int(query.get("Most", "500")))]
+        return reply(200, {"Anvils": [rows[n] for n in shown], "HasNext": len(names) > len(shown)})
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -618,3 +618,22 @@
     plan(story.block, story.now)
     assert not work.live
     assert all(a.grace is None for a in attempts)
+
+
+def test_jobs_that_fail_everywhere_clear_the_machine_on_which_they_failed_first() -> None:
+    """Four of them, still open, would else have a healthy machine taken for faulty."""
+    story = Story(machines=2)
+    for number in range(1, 5):
+        work = story.submit(number)
+        for _ in range(2):
+            attempt = story.attempt(work)
+            assert ("run", f"{work.job.ref}/0") in (story.beat(attempt.machine.name) or [])
+            story.beat(attempt.machine.name, listed(attempt, "ended", "error"))
+            story.now += 5 * US
+            for name in ("m-0", "m-1"):
+                story.beat(name)
+            plan(story.block, story.now)
+        assert not work.live  # both are avoided for a while
+    machines = story.block.machines.values()
+    assert not any(machine.draining for machine in machines)
+    assert all(not machine.faults for machine in machines)
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -205,7 +205,7 @@
         trouble = loop.create_task(_trouble(world, chance))
         users = loop.create_task(_users(world, chance, jobs))
         while not users.done():
-            world.referee.check()
+            world.rule_checker.check()
             for block in range(blocks):
                 world.owner(block)  # never two
             await asyncio.sleep(0.5)
@@ -214,7 +214,7 @@
         # Everything heals; every job that was accepted and not cancelled must come to its end.
         world.heal()
         assert not any(task.done() for task in world.running.values())
-        left = [ref for ref in world.jobs if ref not in world.referee.cancelled_at]
+        left = [ref for ref in world.jobs if ref not in world.rule_checker.cancelled_at]
         await world.until_done(*left, seconds=400)
         world.verdict()
 
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -115,7 +115,7 @@
         writes = world.parts[name].owners[0].state.writes
         records = [loop.create_task(writes.spare(4)) for _ in range(100)]
         await world.submit(world.job(3, RunS=2.0, Rank="high"))
-        await world.until(lambda: "req-000003/0" in world.referee.results, seconds=40)
+        await world.until(lambda: "req-000003/0" in world.rule_checker.results, seconds=40)
         await asyncio.sleep(3)
         assert await world.poll("req-000003") == "done"
         assert not all(record.done() for record in records)
@@ -165,7 +165,7 @@
         assert name is not None
         known = set(world.parts[name].owners[0].block.machines)
         assert set(world.cloud.machines) <= known  # each is used or returned
-        assert world.referee.starts == 60
+        assert world.rule_checker.starts == 60
         world.verdict()
 
     play(story)
@@ -191,7 +191,7 @@
             world.thaw(holder)
             for _ in range(40):
                 world.owner()
-                world.referee.check()
+                world.rule_checker.check()
                 await asyncio.sleep(0.05)
             assert await world.poll(f"req-{10 * number:06d}", holder) in ("withdrawn", "503")
         await world.until_done("req-000001", seconds=200)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -16,10 +16,10 @@
 
 
 async def _watch(world: World, seconds: float) -> None:
-    """Let time pass under the referee's eyes."""
+    """Let time pass under the rule checker's eyes."""
     end = world.loop.time() + seconds
     while world.loop.time() < end:
-        world.referee.check()
+        world.rule_checker.check()
         world.owner()  # never two
         await asyncio.sleep(0.05)
 
@@ -143,14 +143,14 @@
         await world.until(lambda: len(world.on("req-000001")) == 12)
         owner = world.owner()
         assert owner is not None
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.state.slowness = 250.0  # each answer takes half a second
         world.crash(owner)
         world.boot(owner)
         await _watch(world, 8)
         world.state.slowness = 1.0
         await world.until_done("req-000001", seconds=100)
-        assert world.referee.starts == starts
+        assert world.rule_checker.starts == starts
         world.verdict()
 
     play(story)
@@ -164,7 +164,7 @@
         world.cloud.capacity = 2
         await world.start()
         await world.submit(world.job(1, Pieces=1000, RunS=500.0))
-        await world.until(lambda: world.referee.starts > 20)
+        await world.until(lambda: world.rule_checker.starts > 20)
         await asyncio.sleep(2)
         owner = world.owner()
         assert owner is not None
@@ -174,11 +174,11 @@
         assert await world.cancel("req-000001", _others(world, owner)[0]) == "withdrawn"
         await _watch(world, 0.5)  # sooner than the owner asks anybody
         assert world.on("req-000001") == []
-        starts = world.referee.starts_of("req-000001")
+        starts = world.rule_checker.starts_of("req-000001")
         assert world.owner() == owner
         await _watch(world, 10)
-        assert world.referee.starts_of("req-000001") == starts
-        assert world.referee.starts_of("req-000002") > 0
+        assert world.rule_checker.starts_of("req-000001") == starts
+        assert world.rule_checker.starts_of("req-000002") > 0
         world.verdict()
 
     play(story)
@@ -200,7 +200,7 @@
 
 
 def _holders(world: World, ref: str) -> list[FakeWorker]:
-    return [world.referee.on[task] for task in world.on(ref)]
+    return [world.rule_checker.on[task] for task in world.on(ref)]
 
 
 @pytest.mark.parametrize("how", ["hung", "deaf", "mute"])
@@ -405,14 +405,14 @@
         for machine in mute:
             machine.mute = True
         await _watch(world, FakeWorker.LEASE / 2 + 2)
-        ran = world.referee.starts
+        ran = world.rule_checker.starts
         refs = [f"req-{number:06d}" for number in range(2, 8)]
         for ref in refs:
             await world.submit(world.job(int(ref[4:]), Pieces=2, RunS=5.0))
             await _watch(world, 3)
         await world.until_done("req-000001", *refs, seconds=100)
         # Each task of the first job once more at most, all others once: none died on a mute one.
-        assert world.referee.starts <= ran + 4 + 2 * len(refs)
+        assert world.rule_checker.starts <= ran + 4 + 2 * len(refs)
         assert not any(machine.name in world.cloud.machines for machine in mute)
         await _end(world, "req-000001")
 
@@ -461,7 +461,7 @@
                     await _watch(world, 1)
                     world.boot(owner)
         await _watch(world, 15)
-        await _end(world, *(ref for ref in refs if ref not in world.referee.cancelled_at))
+        await _end(world, *(ref for ref in refs if ref not in world.rule_checker.cancelled_at))
 
     play(story)
 
@@ -474,7 +474,7 @@
         world.cloud.capacity = 1
         await world.start()
         await world.submit(world.job(1, Pieces=400, Cores=1.0, RunS=2.0))
-        await world.until(lambda: len(world.referee.results) >= 16)
+        await world.until(lambda: len(world.rule_checker.results) >= 16)
         # From now on writes of results go unanswered, and are carried out much later.
         world.state.late_writes, world.state.late_keys = 1.0, "open/req-000001/"
         await _watch(world, 2.5)
@@ -598,7 +598,7 @@
             job = world.job(number, Pieces=1 + number % 2, RunS=1.0)
             await world.submit(job)
             tasks = {f"{ref}/{index}" for index in range(job["Pieces"])}
-            await world.until(lambda tasks=tasks: tasks <= world.referee.results)
+            await world.until(lambda tasks=tasks: tasks <= world.rule_checker.results)
             await asyncio.sleep(0.02 * number * (seed + 1) / 2)
             await asyncio.gather(
                 world.cancel(ref), world.poll(ref), world.submit(job), world.poll(ref)
@@ -640,3 +640,53 @@
         await _end(world, "req-000001")
 
     play(story)
+
+
+def test_a_question_read_before_a_cancellation_is_answered_as_of_after_it() -> None:
+    """The controller has heard of the cancellation by the time its own read comes back."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(2, 100.0)
+        asked, other = world.nodes[:2]
+        world.state.slowness = 10.0  # 20 ms for an answer
+        question = loop.create_task(world.ask(asked, "GET", "/api/jobs/req-000001"))
+        await asyncio.sleep(0.01)  # the read has reached the state service
+        world.net.cut(world.host(asked), world.state.HOST)
+        await asyncio.sleep(0.03)  # it has been answered, and the answer is held up
+        assert await world.cancel("req-000001", other) == "withdrawn"
+        await asyncio.sleep(0.05)
+        world.net.heal(world.host(asked), world.state.HOST)
+        status, body = await question
+        assert (status, body["Stage"]) == (200, "withdrawn")
+        world.verdict()
+
+    play(story)
+
+
+def test_a_job_whose_cancellation_overtook_its_submission_is_not_taken_up() -> None:
+    """The owner's watch brings the job late, and the end of the job later still."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        owner = await world.busy(2, 100.0)
+        other = _others(world, owner)[0]
+        owner_host = world.host(owner)
+        world.state.slowness = 10.0  # 20 ms for an answer
+        await asyncio.sleep(0.5)
+        world.net.cut(owner_host, world.state.HOST)
+        await world.submit(world.job(2, Pieces=2, RunS=50.0), other)
+        await asyncio.sleep(0.05)
+        assert await world.cancel("req-000002", other) == "withdrawn"
+        await asyncio.sleep(0.05)
+        world.net.heal(owner_host, world.state.HOST)
+        await asyncio.sleep(0.01)  # what was held up arrives, and nothing that was asked since
+        world.net.cut(owner_host, world.state.HOST)
+        await _watch(world, 0.8)
+        world.net.heal(owner_host, world.state.HOST)
+        await _watch(world, 3)
+        assert world.rule_checker.started_cancelled == []
+        assert world.owner() == owner
+        world.verdict()
+
+    play(story)
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -19,7 +19,7 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         owner = await world.busy(6, 30.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         right = world.parts[owner].member.ttl_us / 1e6
         world.state.down = True
         for _ in range(int((right + 5) * 10)):
@@ -29,7 +29,7 @@
             assert (await world.ask(name, "GET", "/healthz"))[0] == 200
         world.state.outage_over()
         await world.until_done("req-000001")
-        assert world.referee.starts == starts
+        assert world.rule_checker.starts == starts
         world.verdict()
 
     play(story)
@@ -71,14 +71,14 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         owner = await world.busy(6, 60.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.state.down = True
         for _ in range(int(world.cancel_s * 2 * 10)):
             await asyncio.sleep(0.1)
             assert world.owner() == owner
         world.state.outage_over()
         await world.until_done("req-000001")
-        assert world.referee.starts == starts
+        assert world.rule_checker.starts == starts
         world.verdict()
 
     play(story)
--- a/tests/test_rule_checker.py
+++ b/tests/test_rule_checker.py
@@ -1,4 +1,4 @@
-"""The referee of the stories catches what breaks each rule."""
+"""The rule checker of the stories catches what breaks each rule."""
 
 from collections.abc import Callable
 
@@ -17,8 +17,8 @@
 
 
 def _told(world: World, stage: str, verb: str = "poll", status: int = 200) -> None:
-    before = world.referee.told.get("req-000001")
-    world.referee.answered("req-000001", verb, status, {"Stage": stage}, before)
+    before = world.rule_checker.told.get("req-000001")
+    world.rule_checker.answered("req-000001", verb, status, {"Stage": stage}, before)
 
 
 def _job(world: World, **fields: object) -> None:
@@ -27,45 +27,45 @@
 
 def _ran_twice(world: World) -> None:
     _job(world)
-    world.referee.entered("req-000001/0", _machine(world, 1), 1)
-    world.referee.entered("req-000001/0", _machine(world, 2), 2)
+    world.rule_checker.entered("req-000001/0", _machine(world, 1), 1)
+    world.rule_checker.entered("req-000001/0", _machine(world, 2), 2)
 
 
 def _quota(world: World) -> None:
     _job(world, Pieces=5, Cores=2.0)
     for index in range(3):
-        world.referee.entered(f"req-000001/{index}", _machine(world, index), 1)
+        world.rule_checker.entered(f"req-000001/{index}", _machine(world, index), 1)
 
 
 def _zone(world: World) -> None:
     _job(world, Yard="b")
-    world.referee.entered("req-000001/0", _machine(world, 1), 1)
+    world.rule_checker.entered("req-000001/0", _machine(world, 1), 1)
 
 
 def _spot(world: World) -> None:
     _job(world, Loaners=False)
-    world.referee.entered("req-000001/0", _machine(world, 1, spot=True), 1)
+    world.rule_checker.entered("req-000001/0", _machine(world, 1, spot=True), 1)
 
 
 def _one_zone(world: World) -> None:
     _job(world, Pieces=2, OneZone=True)
-    world.referee.entered("req-000001/0", _machine(world, 1), 1)
-    world.referee.entered("req-000001/1", _machine(world, 2, "b"), 1)
+    world.rule_checker.entered("req-000001/0", _machine(world, 1), 1)
+    world.rule_checker.entered("req-000001/1", _machine(world, 2, "b"), 1)
 
 
 def _apart(world: World) -> None:
     _job(world, Pieces=2, Apart=True)
     for index in range(2):
-        world.referee.entered(f"req-000001/{index}", _machine(world, index), 1)
+        world.rule_checker.entered(f"req-000001/{index}", _machine(world, index), 1)
 
 
 def _ran_cancelled(world: World) -> None:
     _job(world)
     world.asked_cancel["req-000001"] = True
-    world.referee.entered("req-000001/0", _machine(world, 1), 1)
+    world.rule_checker.entered("req-000001/0", _machine(world, 1), 1)
     _told(world, "withdrawn", "cancel")
     world.loop._selector.now += world.cancel_s + 0.1
-    world.referee.check()
+    world.rule_checker.check()
 
 
 def _not_found(world: World) -> None:
@@ -83,7 +83,7 @@
 def _never_answered(world: World) -> None:
     _job(world)
     _told(world, "pending", "submit", 201)
-    world.referee.calm()
+    world.rule_checker.calm()
     world.loop._selector.now += 76
     _told(world, "", status=503)
 
@@ -94,13 +94,13 @@
 
 def _not_done(world: World) -> None:
     _job(world, Pieces=2)
-    world.referee.completed("req-000001/0")
+    world.rule_checker.completed("req-000001/0")
     _told(world, "done")
 
 
 def _back_from_done(world: World) -> None:
     _job(world)
-    world.referee.completed("req-000001/0")
+    world.rule_checker.completed("req-000001/0")
     _told(world, "done")
     _told(world, "running")
 
@@ -124,10 +124,10 @@
     _job(world)
     _machine(world, 1)
     _told(world, "pending", "submit", 201)
-    world.referee.calm()
+    world.rule_checker.calm()
     for _ in range(95):
         world.loop._selector.now += 1.0
-        world.referee.check()
+        world.rule_checker.check()
 
 
 @pytest.mark.parametrize(
@@ -142,24 +142,24 @@
         (_waited, "waited"),
     ],
 )  # fmt: skip
-def test_the_referee_catches(what: Callable[[World], None], rule: str) -> None:
+def test_the_rule_checker_catches(what: Callable[[World], None], rule: str) -> None:
     async def story(loop: Loop) -> None:
         world = World(loop, limits={"red": 5} if what is _quota else None)
         what(world)
-        assert any(rule in text for text in world.referee.broken), world.referee.broken
+        assert any(rule in text for text in world.rule_checker.broken), world.rule_checker.broken
 
     play(story)
 
 
-def test_the_referee_counts_starts_after_a_confirmed_cancellation() -> None:
+def test_the_rule_checker_counts_starts_after_a_confirmed_cancellation() -> None:
     async def story(loop: Loop) -> None:
         world = World(loop)
         _job(world)
         world.asked_cancel["req-000001"] = True
         _told(world, "withdrawn", "cancel")
         loop._selector.now += 2.0
-        world.referee.entered("req-000001/0", _machine(world, 1), 1)
-        assert world.referee.started_cancelled == [("req-000001/0", 2.0)]
-        assert world.referee.broken == []
+        world.rule_checker.entered("req-000001/0", _machine(world, 1), 1)
+        assert world.rule_checker.started_cancelled == [("req-000001/0", 2.0)]
+        assert world.rule_checker.broken == []
 
     play(story)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -31,12 +31,12 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         owner = await world.busy(6, 30.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.crash(owner)
         await asyncio.sleep(1.0)
         world.boot(owner)
         await world.until_done("req-000001")
-        assert world.referee.starts == starts  # nothing had to be started again
+        assert world.rule_checker.starts == starts  # nothing had to be started again
         world.verdict()
 
     play(story)
@@ -75,7 +75,7 @@
         await world.start()
         for number in range(1, 6):
             await world.submit(world.job(number, Pieces=4, RunS=8.0))
-        await world.until(lambda: world.referee.starts >= 10)
+        await world.until(lambda: world.rule_checker.starts >= 10)
         for name in world.nodes:
             world.crash(name)
         await asyncio.sleep(2)
@@ -106,14 +106,14 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         await world.busy(6, 30.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.state.down = True
         await asyncio.sleep(8)
         status, _ = await world.ask("node-0", "GET", "/api/jobs/req-000001")
         assert status == 503  # unsure
         world.state.outage_over()
         await world.until_done("req-000001")
-        assert world.referee.starts == starts
+        assert world.rule_checker.starts == starts
         world.verdict()
 
     play(story)
@@ -127,7 +127,7 @@
             await world.submit(world.job(number, Pieces=5, Cores=2.0))
         assert await world.submit(world.job(9, Cores=6.0)) == 422
         assert await world.submit(world.job(8, Shape="group", Pieces=3, Cores=2.0)) == 422
-        await world.until(lambda: world.referee.starts >= 3)
+        await world.until(lambda: world.rule_checker.starts >= 3)
         owner = world.owner()
         assert owner is not None
         world.crash(owner)
@@ -405,12 +405,13 @@
 
         streams = [loop.create_task(stream()), loop.create_task(gangs())]
         await world.until(
-            lambda: any(task.startswith("req-000001/") for task in world.referee.on), seconds=240
+            lambda: any(task.startswith("req-000001/") for task in world.rule_checker.on),
+            seconds=240,
         )
         await asyncio.sleep(300)
         for one in streams:
             one.cancel()
-        done = sum(1 for task in world.referee.results if task.startswith("req-000001/"))
+        done = sum(1 for task in world.rule_checker.results if task.startswith("req-000001/"))
         assert done > 50
         world.verdict()
 
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -19,7 +19,7 @@
             for name in world.nodes:
                 assert await world.poll("req-000001", name) in ("pending", "running")
             await asyncio.sleep(15)
-        assert world.referee.starts_of("req-000001") < 90  # of 30 tasks, for three minutes
+        assert world.rule_checker.starts_of("req-000001") < 90  # of 30 tasks, for three minutes
         owner = world.owner()
         assert owner is not None
         machines = world.parts[owner].owners[0].block.machines.values()
@@ -47,7 +47,9 @@
             await world.submit(world.job(number, Pieces=4, Rank="high", RunS=1.0, Broken=True))
         await asyncio.sleep(150)
         assert set(world.cloud.machines) == rented
-        starts = world.referee.starts_of("req-000002") + world.referee.starts_of("req-000003")
+        starts = world.rule_checker.starts_of("req-000002") + world.rule_checker.starts_of(
+            "req-000003"
+        )
         assert starts < 60
         for ref in ("req-000002", "req-000003"):
             assert await world.cancel(ref) == "withdrawn"
@@ -96,11 +98,11 @@
         for ref in own:
             number = int(ref[4:])
             await world.submit(world.job(number, Pieces=4, Rank="high", RunS=3.0))
-            await world.until(lambda ref=ref: world.referee.starts_of(ref) > 0, seconds=15)
+            await world.until(lambda ref=ref: world.rule_checker.starts_of(ref) > 0, seconds=15)
             await asyncio.sleep(2)
         await world.until_done(*own, seconds=40)
         await world.until_done(*(job["Ref"] for job in swarm), seconds=240 - (loop.time() - began))
-        assert world.referee.starts_of("req-000500") > 100  # the largest goes on as well
+        assert world.rule_checker.starts_of("req-000500") > 100  # the largest goes on as well
         world.verdict()
 
     play(story)
@@ -119,10 +121,10 @@
         assert other not in (None, owner)
         await world.until_done("req-000001", "req-000002")
         before = dict(world.state.keys)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.thaw(owner)
         await asyncio.sleep(3)
-        assert world.owner() == other and world.referee.starts == starts
+        assert world.owner() == other and world.rule_checker.starts == starts
         kept = [key for key in before if key.startswith(("over/", "c/block/"))]
         assert all(world.state.keys[key] == before[key] for key in kept)
         # The other one stands still while its tasks run: no run time is taken from that.
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,7 +7,7 @@
 
 
 def _holder(world: World, task: str) -> FakeWorker:
-    return world.referee.on[task]
+    return world.rule_checker.on[task]
 
 
 def test_a_deaf_machine_loses_its_tasks_to_others_gets_no_new_ones_and_is_returned() -> None:
@@ -18,12 +18,12 @@
         deaf.deaf = True
         since = loop.time()
         await world.until(
-            lambda: world.referee.on.get("req-000001/0") not in (None, deaf), seconds=40
+            lambda: world.rule_checker.on.get("req-000001/0") not in (None, deaf), seconds=40
         )
         assert loop.time() - since < 4 * FakeWorker.LEASE
         await world.submit(world.job(2, Pieces=4, RunS=20.0))
         await world.until(lambda: deaf.name not in world.cloud.machines, seconds=60)
-        assert not any(worker is deaf for worker in world.referee.on.values())
+        assert not any(worker is deaf for worker in world.rule_checker.on.values())
         await world.until_done("req-000001", "req-000002", seconds=200)
         world.verdict()
 
@@ -41,7 +41,7 @@
         await world.submit(world.job(2, Pieces=2, RunS=5.0))
         await world.until_done("req-000002", seconds=60)
         await world.until(
-            lambda: world.referee.on.get("req-000001/0") not in (None, deaf), seconds=60
+            lambda: world.rule_checker.on.get("req-000001/0") not in (None, deaf), seconds=60
         )
         assert loop.time() - since < 6 * FakeWorker.LEASE
         world.boot(owner)
@@ -71,7 +71,7 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         first = await world.busy(6, 40.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.estrange(first)
         await world.until(lambda: world.owner() not in (None, first), seconds=FakeWorker.LEASE)
         status, _ = await world.ask(first, "GET", "/healthz")
@@ -80,7 +80,7 @@
         status, _ = await world.ask(first, "POST", "/api/jobs", world.job(2))
         assert status == 503 and loop.time() - asked < 0.1
         await world.until_done("req-000001")
-        assert world.referee.starts == starts  # nothing had to be started again
+        assert world.rule_checker.starts == starts  # nothing had to be started again
         world.reconcile(first)
         await asyncio.sleep(5)
         world.verdict()
@@ -130,7 +130,7 @@
             world.boot(name)
             await asyncio.sleep(0.4 + 0.3 * (moment % 4))
             world.owner()  # never two
-            world.referee.check()
+            world.rule_checker.check()
         await world.until_done(*[f"req-{n:06d}" for n in range(1, 6)], seconds=200)
         world.verdict()
 
@@ -173,7 +173,7 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         owner = await world.busy(6, 60.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.net.refusing = {(world.host(name), 8081) for name in world.nodes}
         world.state.slowness = 10.0
         for number in range(2, 12):
@@ -183,7 +183,7 @@
         world.state.slowness = 1.0
         world.net.refusing.clear()
         await world.until_done(*[f"req-{n:06d}" for n in range(1, 12)], seconds=100)
-        assert world.referee.starts == starts + 10  # each task was started once
+        assert world.rule_checker.starts == starts + 10  # each task was started once
         assert sorted(world.running) == world.nodes
         assert not any(task.done() for task in world.running.values())
         world.verdict()
@@ -222,7 +222,7 @@
         await world.start()
         for number in range(1, 7):
             await world.submit(world.job(number, Cores=4.0, RunS=300.0))
-        await world.until(lambda: len(world.referee.on) == 6)
+        await world.until(lambda: len(world.rule_checker.on) == 6)
         rented = set(world.cloud.machines)
         assert len(rented) > 1
         world.isolate("node-0", state=False, cloud=False)
@@ -231,7 +231,7 @@
         world.rejoin("node-0")
         await asyncio.sleep(15)
         assert rented <= set(world.cloud.machines)
-        await world.until(lambda: len(world.referee.on) == 6)
+        await world.until(lambda: len(world.rule_checker.on) == 6)
         world.verdict()
 
     play(story)
@@ -245,7 +245,7 @@
         for number in range(1, 5):
             await world.submit(world.job(number, Cores=4.0, Yard="b", RunS=200.0))
         await world.submit(world.job(5, Cores=4.0, Yard="a", RunS=200.0))
-        await world.until(lambda: len(world.referee.on) == 5)
+        await world.until(lambda: len(world.rule_checker.on) == 5)
         dark = [m for m in world.cloud.machines.values() if m.zone == "b"]
         for machine in dark:
             for name in world.nodes:
@@ -266,7 +266,7 @@
     async def story(loop: Loop) -> None:
         world = World(loop)
         owner = await world.busy(6, 40.0)
-        starts = world.referee.starts
+        starts = world.rule_checker.starts
         world.net.slow[world.host(owner)] = 0.15  # every answer it waits for takes longer
         await world.submit(world.job(2, RunS=2.0))
         for _ in range(20):
@@ -274,7 +274,7 @@
             assert world.owner() == owner
         world.net.slow.clear()
         await world.until_done("req-000001", "req-000002", seconds=100)
-        assert world.referee.starts == starts + 1
+        assert world.rule_checker.starts == starts + 1
         world.verdict()
 
     play(story)
