Stories of a state service and a cloud whose answers make no sense

Cut off, empty, not JSON, not UTF-8, of another type, nested, 500, too large: eight ways each, for six seconds. No fault was found; each story would fail if such an answer ended a loop or was told on.

--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
@@ -29,6 +30,7 @@
         self.world = world
         self.hires: dict[str, list[str]] = {}
         self.machines: dict[str, FakeWorker] = {}
+        self.garble: Callable[[Response], Response] | None = None  # what becomes of its answers
         self.count = 0
         self.capacity = 12
         self.page = 500  # rows of a page of the list at most
@@ -40,6 +42,10 @@
         await Server(self.handle, 1000).start(self.ADDRESS)
 
     async def handle(self, request: Request) -> Response:
+        answer = await self._answer(request)
+        return answer if self.garble is None else self.garble(answer)
+
+    async def _answer(self, request: Request) -> Response:
         await asyncio.sleep(0.02)
         path = request.path
         if path == "/machine_types":
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -29,6 +30,7 @@
         self.late_writes = 0.0  # that share is not answered, and carried out 2 to 12 s later
         self.late_by = (2.0, 12.0)
         self.late_keys = ""  # of which only those that put or drop something under this prefix
+        self.garble: Callable[[Response], Response] | None = None  # what becomes of its answers
         self.event = asyncio.Event()
         self.writes = 0
         self.slowness = 1.0  # how many times as long as usual its answers take
@@ -77,6 +79,10 @@
         self.holds = {hold: (now + ttl, ttl) for hold, (_, ttl) in self.holds.items()}
 
     async def handle(self, request: Request) -> Response:
+        answer = await self._answer(request)
+        return answer if self.garble is None else self.garble(answer)
+
+    async def _answer(self, request: Request) -> Response:
         rare = 0.2 if self.chance.random() < 0.01 else 0.002
         await asyncio.sleep((rare if self.slowness > 1 else 0.002) * self.slowness)
         query = {k: v[0] for k, v in parse_qs(request.query).items()}
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -123,6 +123,7 @@
             machine.hung = machine.deaf = machine.mute = machine.answers_lost = False
         self.state.refused.clear()
         self.state.late_writes = 0.0
+        self.state.garble = self.cloud.garble = None
         self.state.slowness = 1.0
         self.net.slow.clear()
         self.net.refusing.clear()
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -1,7 +1,11 @@
 """Work that nobody planned for: jobs with a mistake, faulty machines, guests in great numbers."""
 
 import asyncio
+from collections.abc import Callable
 
+import pytest
+
+from basaltlead.net.http import Response
 from tests.fakes import World
 from tests.world import Loop, play
 
@@ -142,3 +146,43 @@
         world.verdict()
 
     play(story)
+
+
+GARBLED: dict[str, Callable[[Response], Response]] = {
+    "cut off": lambda answer: Response(answer.status, answer.body[: len(answer.body) // 2]),
+    "empty": lambda answer: Response(answer.status, b""),
+    "not JSON": lambda answer: Response(answer.status, b"<html>gateway</html>"),
+    "not UTF-8": lambda answer: Response(answer.status, b'{"Ledger":"\xff"}'),
+    "another type": lambda answer: Response(answer.status, b"[1, 2]"),
+    "nested": lambda answer: Response(answer.status, b"[" * 100_000),
+    "fault": lambda answer: Response(500, b"{}"),
+    "too large": lambda answer: Response(answer.status, b" " * (17 * 1024 * 1024)),
+}
+
+
+@pytest.mark.parametrize("who", ["state", "cloud"])
+@pytest.mark.parametrize("how", list(GARBLED))
+def test_answers_that_make_no_sense_are_no_answers(how: str, who: str) -> None:
+    """What was asked for may have been done all the same."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.busy(4, 30.0)
+        service = world.state if who == "state" else world.cloud
+        service.garble = GARBLED[how]
+        submitting = loop.create_task(world.submit(world.job(2, Pieces=3, RunS=2.0)))
+        if who == "state":
+            status, _ = await world.ask(world.nodes[0], "GET", "/api/jobs/req-000001")
+            assert status == 503  # nobody is told what was not read
+        end = loop.time() + 6.0
+        while loop.time() < end:
+            world.rule_checker.check()
+            world.owner()  # never two
+            await asyncio.sleep(0.1)
+        world.heal()
+        await submitting
+        await world.until_done("req-000001", "req-000002", seconds=120)
+        assert not any(task.done() for task in world.running.values())
+        world.verdict()
+
+    play(story)
