--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -165,8 +165,8 @@
         self.share(block, now)
 
     def promised(self, work: Work, now: int) -> bool:
-        """Is there a deadline or a promise of its class that it can still keep?"""
-        return self.due(work, now).at is not None
+        """Has it a deadline or a promise of its class, whether or not it can still be kept?"""
+        return self.due(work, now) != NO_DUE
 
     def share(self, block: Block, now: int) -> None:
         """The auction over the present capacity. Deadline jobs want what keeps them in time,
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -313,7 +313,7 @@
         self.bid = 0.0
         self.slots: int | None = None  # what the auction gave it; None before its first round
         self.need: int | None = None  # what must run now for it to be done in time
-        # Has it a deadline, or a promise of its class, that it can still keep? Arrays only.
+        # Has it a deadline or a promise of its class, even if it is late by now? Arrays only.
         self.promised = True
         self.finished_recent = 0
         self.ran_us = 0  # run time of its tasks that completed, and how many those were
