--- a/basaltlead/autoscaler.py
+++ b/basaltlead/autoscaler.py
@@ -4,12 +4,12 @@
 
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.cloud import Cloud, NoCapacity
-from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired
+from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired, TooLarge
 from basaltlead.clock import age_us, now_us, wall_us
 from basaltlead.core import demand, fleet
 from basaltlead.core.fleet import Demand, Offer, OfferBook, WarmSpare
 from basaltlead.core.market import Market
-from basaltlead.core.model import US, Machine
+from basaltlead.core.model import US, Machine, Shape
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
 from basaltlead.owner import Owner, placeholder_kind
@@ -21,12 +21,15 @@
 MOST_HIRED_AT_ONCE = 12  # machines that one pass asks for
 MOST_HIRING = 6  # hires in progress
 SIZING_SHARE = 15  # sizing the fleet leaves that many times what it takes to everything else
+MOST_IN_HIRE = 50  # the cloud rents that many at once
+HIRE_BYTES, NAME_BYTES = 256, 32  # what a hire's record takes, and each of its machines' names
 MOST_NAMES = 100  # the cloud deletes that many at once
 SILENT_ZONE_COUNT = 3  # machines that must be silent before their zone is in doubt
 SILENT_ZONE_US = 45 * US  # for how long nothing is hired there after the last of them was returned
 BLIND_LEASES = 4  # after so long of hearing nobody we believe that they are gone
 ANSWER_US = 4 * US  # for how long a worker waits for an answer; it tries others a second apart
 UNREACHABLE_US = 4 * US  # a machine that has not heard us for so long is no capacity
+ARRIVALS_US = 200 * US  # jobs that came in this time tell how many will come
 MINIMUM_US = 60 * US  # what a machine costs at least
 
 
@@ -74,7 +77,7 @@
         for work in sorted(works, key=lambda w: (-w.job.rank, w.asked_at)):
             work.need = wanted[work.job.ref]
             need = Demand(work, work.need)
-            if not work.job.gang:
+            if work.job.shape is Shape.ARRAY:
                 need.drain_us = rented.drain_us(work.job, backlog)
             out.append(need)
         return out
@@ -97,11 +100,11 @@
             fetch = min(k.fetch_s(job) for k in suited)
             if boot * 1.2 + fetch * US <= within:
                 continue
-            window = 200 * US
-            recent = [image for at, image in seen.seen if now - at < window]
+            recent = [one for one in seen.seen if now - one.at < ARRIVALS_US]
             if recent:
-                expected = len(recent) * boot / window
-                out.append(WarmSpare(job, max(1, round(expected)), frozenset(recent)))
+                expected = sum(one.tasks for one in recent) * boot / ARRIVALS_US
+                images = frozenset(one.image for one in recent)
+                out.append(WarmSpare(job, max(1, round(expected)), images))
         return out
 
     def expected(self, now: int) -> list[Machine]:
@@ -259,10 +262,16 @@
         self.sequence += 1
         name = f"h-{self.owner.grant.fencing_token}-{self.sequence}"
         stored = StoredHire(
-            offer.kind, offer.zone, offer.spot, min(count, 50), wall_us(), None, self.owner.number
-        )
+            offer.kind, offer.zone, offer.spot, min(count, self._most_in_hire()), wall_us(), None,
+            self.owner.number,
+        )  # fmt: skip
         self.owner.spawn(self._hire(name, stored, fresh=True), f"hire {name}")
 
+    def _most_in_hire(self) -> int:
+        """Machines in one request: their names must fit into its record."""
+        room = self.owner.limits.value_bytes - HIRE_BYTES
+        return max(1, min(MOST_IN_HIRE, room // NAME_BYTES))
+
     async def _hire(self, name: str, stored: StoredHire, fresh: bool = False) -> None:
         """See one hire through. Its record is written before the request, so that whoever
         comes after us asks again under the same name instead of renting twice."""
@@ -328,6 +337,8 @@
                 if HIRE + name not in conflict.failed:
                     raise
                 return  # an earlier try was carried out
+            except TooLarge:
+                return  # without the names, the next owner asks for them again
             except (Failed, Unavailable):
                 await backoff.rest()
 
@@ -421,8 +432,9 @@
                 self.owner.dispatcher.workers.forget(block.machines[name].address)
                 block.drop_machine(name, now)
             self.owner.wake.set()
-            for low in range(0, len(dropped), self.settings.facts.state.txn_ops):
-                await self._forget(dropped[low : low + self.settings.facts.state.txn_ops])
+            most = self.owner.limits.operations
+            for low in range(0, len(dropped), most):
+                await self._forget(dropped[low : low + most])
 
     async def _forget(self, names: list[str]) -> None:
         for _ in range(5):
--- a/basaltlead/clients/state.py
+++ b/basaltlead/clients/state.py
@@ -1,13 +1,13 @@
 """The state service: a small consistent key-value store."""
 
 from collections.abc import Sequence
-from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
 from basaltlead.clients.base import Budget, Unavailable, decode, encode
 from basaltlead.net.http import Failed, Pool
+from basaltlead.store_limits import StoreLimits
 from basaltlead.wire.state import (
     Changes,
     Drop,
@@ -35,6 +35,14 @@
     """The session lease has ended."""
 
 
+class TooLarge(Failed):
+    """A transaction that the state service would refuse for its size, so it was not sent: the
+    same request can never succeed, and must not be tried again."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(f"too large: {text}", sent=False)
+
+
 class TooOld(Exception):
     """The changes asked for are no longer kept."""
 
@@ -49,13 +57,14 @@
     Renewals of the session lease pass the budget by: they must never wait behind other requests.
     """
 
-    def __init__(self, address: str, rps: float, write_rps: float, nodes: int, owners: int) -> None:
+    def __init__(self, address: str, limits: StoreLimits, nodes: int, owners: int) -> None:
+        self.limits = limits
         self.pool = Pool(address, limit=24)
         self.watches = Pool(address, limit=8)
         self.renewals = Pool(address, limit=4)
-        self.requests = Budget(max(1.0, rps * 0.8 / nodes))
+        self.requests = Budget(max(1.0, limits.rps * 0.8 / nodes))
         # Owners store results; all others only what users ask for now and then.
-        rate = write_rps * 0.85 * (0.6 if owners == 1 else 1 / owners)
+        rate = limits.write_rps * 0.85 * (0.6 if owners == 1 else 1 / owners)
         self.writes = Budget(max(0.5, rate), burst=max(1.0, rate))
 
     def behind_s(self, writing: bool) -> float:
@@ -64,10 +73,9 @@
         return max(waits, self.writes.behind_s()) if writing else waits
 
     async def _call(
-        self, method: str, path: str, body: Any = None, timeout_us: int = 1_500_000
+        self, method: str, path: str, raw: bytes = b"", timeout_us: int = 1_500_000
     ) -> tuple[int, bytes]:
         await self.requests.take()
-        raw = b"" if body is None else encode(body)
         return self._checked(await self.pool.request(method, path, raw, timeout_us))
 
     @staticmethod
@@ -111,9 +119,10 @@
 
         Bookkeeping can wait: with hundreds of machines it alone would fill the limit on writes,
         and users' submissions and cancellations go first."""
+        raw = self._encoded(guards, apply)
         turn = self.writes.spare if can_wait else self.writes.take
         await turn(max(1, len(apply)))
-        status, body = await self._call("POST", "/multi", Transaction(guards, list(apply)))
+        status, body = await self._call("POST", "/multi", raw)
         if status == 200:
             return decode(body, Outcome).revision
         if status == 409:
@@ -122,6 +131,22 @@
             raise SessionLeaseExpired
         raise Failed(f"multi: {status} {body[:200]!r}", sent=True)
 
+    def _encoded(self, guards: list[Guard], apply: Sequence[Put | Drop]) -> bytes:
+        """The transaction's body. Raises TooLarge if it breaks a limit."""
+        values: list[int] = []
+        changes: list[Put | Drop] = []
+        for change in apply:
+            if isinstance(change, Put):
+                value = encode(change.value)
+                values.append(len(value))
+                change = Put(change.key, msgspec.Raw(value), change.session_lease)
+            changes.append(change)
+        raw = encode(Transaction(guards, changes))
+        excess = self.limits.excess(len(guards), len(apply), values, len(raw))
+        if excess:
+            raise TooLarge(excess)
+        return raw
+
     async def changes(self, prefix: str, since: int, hold_ms: int) -> Changes:
         await self.requests.take()
         status, body = self._checked(
--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -240,7 +240,7 @@
         """Take tasks off machines that are much slower than their kind: what takes many times as
         long as the job's other tasks did, or as its class was guessed to take. A job that is
         slow everywhere is left alone after a few tries, and one without a guess from the start."""
-        if work.given_up >= MOST_GIVEN_UP or work.job.guess_us <= 0:
+        if work.given_up >= MOST_GIVEN_UP or work.job.guess_us <= 0 or work.job.service:
             return
         if work.ran_count >= 3:
             limit = SLOW_TIMES * self.guess_us(work) + 30 * US
@@ -264,14 +264,18 @@
         if machine.recall_at is None and not machine.draining:
             return
         left_us = None if machine.recall_at is None else machine.recall_at - now
+        last_moment_us = 2 * self.timing.report_us + US
         for attempt in list(machine.attempts.values()):
             if attempt.grace is not None:
                 continue
             job = attempt.work.job
             if attempt.stage in ("planned", "fetching", "gathering"):
                 self.stop(attempt, 0.0)
+            elif job.service:  # a plan moves it once there is a place for it, or it goes now
+                if left_us is not None and left_us <= last_moment_us:
+                    self.stop(attempt, 0.0)
             elif job.mark_every_us > 0 and attempt.stage == "running":
-                need_us = int(job.mark_s * US) + 2 * self.timing.report_us + US
+                need_us = int(job.mark_s * US) + last_moment_us
                 if left_us is None or left_us <= need_us:
                     self.stop_softly(attempt)
             elif machine.draining and (machine.faults or machine.slow):
--- a/basaltlead/core/block_state.py
+++ b/basaltlead/core/block_state.py
@@ -9,8 +9,19 @@
 
 from msgspec import Struct
 
-from basaltlead.core.model import US, Attempt, Job, ListedAttempt, Machine, Work
-
+from basaltlead.core.model import (
+    LASTING_US,
+    STANDING_US,
+    US,
+    Attempt,
+    Job,
+    ListedAttempt,
+    Machine,
+    Work,
+)
+
+KEEP_OFF_US = 30 * US  # for how long a job keeps off a machine on which it failed
+TRIALS_BEFORE_PAUSE = 3  # after so many a job that only fails waits between two tries
 TOKEN_BITS = 24  # attempts an owner can start under one fencing token: 16 million
 
 
@@ -62,6 +73,11 @@
     tasks: list  # type: ignore[type-arg]
 
 
+def retry_pause_us(tries: int) -> int:
+    """How long a job that failed so often waits: doubled each time, a minute at most."""
+    return min(60, 1 << min(tries, 6)) * US
+
+
 class BlockState:
     """Jobs, attempts and machines of a block, and what reports say of them."""
 
@@ -101,7 +117,7 @@
         if work is None:
             return
         work.closed = True
-        if not work.complete:
+        if not (work.lasted or work.complete):
             self._clear_failures(work)  # it never showed that it can run
         for attempt in list(work.live.values()):
             self.stop(attempt, 0.0)
@@ -144,7 +160,7 @@
             machine.unbook(attempt)
         if attempt.ran_at:
             spent = machine.share(work.job) * (now - attempt.ran_at) / US
-            if work.is_done(attempt.index) or work.job.mark_every_us:
+            if work.is_done(attempt.index) or work.job.mark_every_us or work.job.service:
                 machine.useful += spent
             else:
                 machine.wasted += spent
@@ -335,18 +351,21 @@
     def _ended(self, attempt: Attempt, seen: Seen, now: int) -> None:
         machine, work, why = attempt.machine, attempt.work, seen.why or "error"
         job = work.job
+        result = why == "done" and not job.service  # what a replica returns means nothing
         rest = ListedAttempt(
-            over=True, forgettable=why != "done", loose=attempt.loose or attempt.flying
+            over=True, forgettable=not result, loose=attempt.loose or attempt.flying
         )
         machine.listed_attempts[(*attempt.key, attempt.token)] = rest
-        if why == "done":
+        if job.service:
+            self._replica_ended(attempt, why, now)
+        if result:
             machine.faults.clear()
             known = attempt.ran_at and not attempt.adopted
             if known and not work.closed and not (job.gang and work.done_count):
                 self._learn(work, now - attempt.ran_at)
             self._result(work, attempt.index)
         self._remove(attempt, now)
-        if why == "done" or work.closed:
+        if result or work.closed:
             return
         if why == "error":
             self._failed(machine, work, now)
@@ -362,6 +381,26 @@
             for other in list(work.live.values()):  # the attempt is lost: clear it away
                 self.stop(other, 0.0)
 
+    def _replica_ended(self, attempt: Attempt, why: str, now: int) -> None:
+        """One that had run for long is simply started anew. One that ends by itself soon after
+        its start, again and again, is started at growing intervals, as one that fails is."""
+        work = attempt.work
+        ran_us = now - attempt.ran_at if attempt.ran_at else 0
+        if ran_us >= LASTING_US:
+            work.lasted = True
+            work.trials = 0
+        elif why == "done":
+            self._tried(work, attempt.machine, now)
+            if work.trials >= TRIALS_BEFORE_PAUSE:
+                work.retry_at = now + retry_pause_us(work.trials)
+
+    @staticmethod
+    def _tried(work: Work, machine: Machine, now: int) -> None:
+        """A failure counts as a trial on another machine, or on the same one after a while."""
+        if now >= work.failed_on.get(machine.name, 0):
+            work.trials += 1
+        work.failed_on[machine.name] = now + KEEP_OFF_US
+
     def _result(self, work: Work, index: int) -> None:
         """A gang's tasks complete together: one result is everybody's."""
         for one in range(work.job.tasks) if work.job.gang else (index,):
@@ -371,20 +410,20 @@
         """Mostly the machine is faulty. But a job that has only ever failed, and on another machine
         too or again on this one after a while, is more likely at fault itself: no machine is
         to blame for it, and after a third time it waits for longer and longer."""
-        if now >= work.failed_on.get(machine.name, 0):
-            work.trials += 1
+        self._tried(work, machine, now)
         work.failures += 1
-        work.failed_on[machine.name] = now + 30 * US
         if work.trials >= 2 and not work.done_count:
             self._clear_failures(work)
-            if work.trials >= 3:
-                work.retry_at = now + min(60, 1 << min(work.failures, 6)) * US
+            if work.trials >= TRIALS_BEFORE_PAUSE:
+                # A service's replicas fail together: only its trials tell how often it was tried.
+                tried = work.trials if work.job.service else work.failures
+                work.retry_at = now + retry_pause_us(tried)
             return
         machine.faults.add(work.job.ref)
         machine.avoid_until = now + 4 * US * len(machine.faults)
         # Jobs that ran elsewhere speak against it; of others it takes more.
         others = (self.works.get(ref) for ref in machine.faults)
-        sure = sum(1 for other in others if other is None or other.done_count)
+        sure = sum(1 for other in others if other is None or other.proven)
         if sure >= 2 or len(machine.faults) >= 4:
             machine.draining = True
             self.log(f"machine {machine.name} is faulty: {sorted(machine.faults)} failed on it")
@@ -417,7 +456,7 @@
             rest.forgettable = over
             return
         if over:
-            if seen.why == "done":
+            if seen.why == "done" and not work.job.service:
                 self._result(work, index)
             else:
                 rest.forgettable = True
@@ -460,7 +499,9 @@
 
     def guess_us(self, work: Work) -> int:
         """How long a task of the job will run: as its first ones did; before that by the
-        owner's guess and what guesses of its class have been worth."""
+        owner's guess and what guesses of its class have been worth. A replica never ends."""
+        if work.job.service:
+            return STANDING_US
         if work.ran_count >= 3:
             return max(US, work.ran_us // work.ran_count)
         return max(US, int(work.job.guess_us * self.ratio.get(work.job.job_class, 1.0)))
--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from basaltlead.core.model import US, Job, Machine, Work, allowed
+from basaltlead.core.model import US, Job, Machine, Shape, Work, allowed
 
 MARGIN = 0.85  # of the time left: guesses are often wrong by half
 BEGIN_US = 60 * US  # a job that has waited for so long is to begin, however late it is due
@@ -38,7 +38,7 @@
     dated: list[tuple[int, Work]] = []
     for work in works:
         due = due_of(work, now)
-        if work.job.gang or due == NO_DUE:
+        if work.job.gang or work.job.service or due == NO_DUE:
             out[work.job.ref] = work.remaining
         else:  # no hurry is worth its price to a job that is late
             each = guess_us(work)
@@ -74,7 +74,8 @@
 
 def loads_of(works: Iterable[Work], now: int, guess_us: Callable[[Work], int]) -> dict[str, float]:
     """What is left of each open array: a look at every running task, so once a pass."""
-    return {w.job.ref: load(w, guess_us(w), now) for w in works if not w.job.gang}
+    arrays = [work for work in works if work.job.shape is Shape.ARRAY]
+    return {work.job.ref: load(work, guess_us(work), now) for work in arrays}
 
 
 class Rented:
@@ -83,7 +84,8 @@
     def __init__(self, machines: Iterable[Machine]) -> None:
         self.room: dict[tuple[str, str, bool], float] = {}
         for machine in machines:
-            taken = sum(a.work.job.cpus for a in machine.attempts.values() if a.work.job.gang)
+            jobs = [attempt.work.job for attempt in machine.attempts.values()]
+            taken = sum(job.cpus for job in jobs if job.shape is not Shape.ARRAY)
             key = (machine.kind.name, machine.zone, machine.spot)
             self.room[key] = self.room.get(key, 0.0) + machine.kind.cpus - taken
 
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -1,5 +1,6 @@
 """What to rent and what to return: the wanted tasks packed onto machines, cheapest room first."""
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from msgspec import Struct
@@ -10,6 +11,7 @@
 # and to wait for work; ordinary ones are for backlogs that outlast their boots.
 WORTH, SPOT_WORTH = 2.4, 0.6
 STAY_US = 90 * US  # how long a machine is reckoned to be of use: boots are paid for too
+SERVICE_STAY_US = 600 * US  # the same for replicas, which stay
 
 
 class Offer(Struct, frozen=True):
@@ -37,6 +39,8 @@
 
 
 class PackingBin:
+    """A machine, rented or to be rented, while it is filled."""
+
     __slots__ = ("kind", "machine", "offer", "room", "used", "zone")
 
     def __init__(self, kind: Kind, zone: str, machine: Machine | None, offer: Offer) -> None:
@@ -47,6 +51,19 @@
         self.room = Room.of(kind)
         self.used = 0
 
+    def allows(self, job: Job) -> bool:
+        """May a task of the job be on such a machine at all?"""
+        return allowed(job, self.kind.name, self.zone, self.offer.spot)
+
+    def images(self, wanted: frozenset[str]) -> int:
+        """How many of these images are on the machine."""
+        return 0 if self.machine is None else len(wanted & self.machine.images.keys())
+
+    def take(self, job: Job, count: int) -> None:
+        """Give so many tasks of a job their place."""
+        self.room.take(job, count)
+        self.used += count
+
 
 class Plan(Struct):
     hires: list[Offer]
@@ -98,7 +115,8 @@
     """Price of a slot for an hour, spot dearer by what a sudden end would repeat."""
     slots = max(1, kind.holds(job))
     price = unit_price(kind, spot) / slots
-    price *= (kind.boot_us + STAY_US) / STAY_US
+    stay_us = SERVICE_STAY_US if job.service else STAY_US
+    price *= (kind.boot_us + stay_us) / stay_us
     if spot and not job.mark_every_us:
         price *= 1 + min(0.5, run_us / (3600 * US) * 4)
     return price
@@ -118,127 +136,189 @@
     Running tasks stay where they are unless a higher rank takes their place, in which case they
     count as wanted elsewhere.
     """
-    bins = [
-        PackingBin(m.kind, m.zone, m, Offer(m.kind.name, m.zone, m.spot))
-        for m in machines
-        if not (m.draining or m.deleting or m.lost or m.recall_at is not None)
-    ]
-    # Cheap room first, then machines that have work: what is left over at the end can go back.
-    bins.sort(
-        key=lambda b: (
-            unit_price(b.kind, b.offer.spot) / max(b.kind.cpus, 0.1),
-            -len(b.machine.attempts) if b.machine else 0,
-        )
-    )
-    by_name = {b.machine.name: b for b in bins if b.machine is not None}
-    # Those in which any task may still find room, in the same order. Room only shrinks here, and
-    # in a full fleet few are left to look at.
     jobs = [*(need.work.job for need in needs), *(spare.job for spare in spares)]
-    least = min((job.cpus for job in jobs), default=0.0) - EPS
-    roomy = list(bins)
-
-    def sift() -> None:
-        nonlocal roomy
-        roomy = [b for b in roomy if b.room.cpus >= least]
+    packing = Packing(machines, kinds, offers, run_us, most_hires, jobs)
+    for rank in sorted({job.rank for job in jobs}, reverse=True):
+        packing.pack([need for need in needs if need.work.job.rank == rank])
+        packing.lend([spare for spare in spares if spare.job.rank == rank])
+    return Plan(packing.hires, packing.needed())
+
+
+class Packing:
+    """One pass over what is wanted: the machines there are, as bins, and what is rented beside."""
+
+    def __init__(
+        self, machines: Iterable[Machine], kinds: dict[str, Kind],
+        offers: dict[Offer, int | None], run_us: dict[str, int], most_hires: int,
+        jobs: Sequence[Job],
+    ) -> None:  # fmt: skip
+        self.kinds = kinds
+        self.offers = offers
+        self.run_us = run_us
+        self.most_hires = most_hires
+        self.hires: list[Offer] = []
+        self.hired: dict[Offer, int] = {}
+        self.bins = [
+            PackingBin(m.kind, m.zone, m, Offer(m.kind.name, m.zone, m.spot))
+            for m in machines
+            if not (m.draining or m.deleting or m.lost or m.recall_at is not None)
+        ]
+        # Cheap room first, then machines that have work: what is left over at the end can go back.
+        self.bins.sort(
+            key=lambda b: (
+                unit_price(b.kind, b.offer.spot) / max(b.kind.cpus, 0.1),
+                -len(b.machine.attempts) if b.machine else 0,
+            )
+        )
+        self.by_name = {b.machine.name: b for b in self.bins if b.machine is not None}
+        # Those in which any task may still find room, in the same order. Room only shrinks here,
+        # and in a full fleet few are left to look at.
+        self.least = min((job.cpus for job in jobs), default=0.0) - EPS
+        self.roomy = list(self.bins)
+
+    def needed(self) -> set[str]:
+        """Names of the machines that something was placed on."""
+        return {b.machine.name for b in self.bins if b.machine is not None and b.used}
+
+    def pack(self, needs: Sequence[Demand]) -> None:
+        """Place what is wanted of one rank: first what runs stays, then the rest finds room."""
+        moved: dict[str, int] = {}
+        for need in needs:
+            live = [a for a in need.work.live.values() if a.grace is None]
+            moved[need.work.job.ref] = max(0, need.count - sum(map(self._pin, live)))
+        self._sift()
+        for need in needs:
+            count = moved[need.work.job.ref]
+            self._place(need.work.job, count, self._zone_room(need.work, count), need.drain_us)
+
+    def _zone_room(self, work: Work, count: int) -> dict[str, int] | None:
+        """How many more tasks of a job each zone may have; None if that does not matter."""
+        job = work.job
+        if not (job.one_zone or job.apart):
+            return None
+        zones = sorted({b.zone for b in self.bins} | {offer.zone for offer in self.offers})
+        held = Counter(attempt.machine.zone for attempt in work.live.values())
+        if job.one_zone:
+            chosen = set(held)
+            if not chosen and job.gang:
+                # One zone must hold them all: the one that needs fewest hires.
+                found = _best_zone(job, count, zones, self.roomy, self.offers, self.kinds)
+                chosen = found or set(zones)
+            zones = [zone for zone in zones if not chosen or zone in chosen]
+        return {zone: job.zone_cap - held[zone] for zone in zones}
+
+    def lend(self, spares: Sequence[WarmSpare]) -> None:
+        """Find room for spares. It may be lent to lower ranks, which give way when it is needed: a
+        spare takes nothing from them here. Counting it as taken hired machines for tasks that
+        never had to move."""
+        lent = {id(one): one.room.copy() for one in self.roomy}
+        for spare in spares:
+            held: Counter[str] = Counter()
+            for _ in range(spare.count):
+                found = self._spare_bin(spare, lent, held)
+                if found is None:
+                    break
+                lent.setdefault(id(found), found.room.copy()).take(spare.job)
+                held[found.zone] += 1
+                found.used += 1
 
-    hires: list[Offer] = []
-    hired: dict[Offer, int] = {}
+    def _spare_bin(
+        self, spare: WarmSpare, lent: dict[int, Room], held: Counter[str]
+    ) -> PackingBin | None:
+        """The machine with most of the images, in a zone that does not have its part yet."""
+        job = spare.job
+        cap = (spare.count + 1) // 2 if job.apart else spare.count
+        full = {zone for zone, count in held.items() if count >= cap}
+        fitting = [
+            b for b in self.roomy
+            if b.zone not in full and b.allows(job) and lent.get(id(b), b.room).fits(job)
+        ]  # fmt: skip
+        if fitting:
+            return max(fitting, key=lambda b: b.images(spare.images))
+        zones = {offer.zone for offer in self.offers} - full
+        return self._rent(job, zones, 1, float("inf"))
+
+    def _sift(self) -> None:
+        self.roomy = [b for b in self.roomy if b.room.cpus >= self.least]
+
+    def _pin(self, attempt: Attempt) -> bool:
+        """Keep a running task where it is; False if a higher rank has taken its place."""
+        one = self.by_name.get(attempt.machine.name)
+        if one is None or not one.room.fits(attempt.work.job):
+            return False
+        one.take(attempt.work.job, 1)
+        return True
 
-    def rent(job: Job, zones: set[str] | None, count: int, within_us: float) -> PackingBin | None:
-        if len(hires) >= most_hires:
+    def _place(
+        self, job: Job, count: int, zone_room: dict[str, int] | None, within_us: float
+    ) -> None:
+        """Bins that are passed once stay full for this job: one pass, then what is rented."""
+        placed = at = full = 0
+        while placed < count:
+            if at == len(self.roomy):
+                zones = None if zone_room is None else {z for z, n in zone_room.items() if n > 0}
+                if self._rent(job, zones, count - placed, within_us) is None:
+                    break
+            one = self.roomy[at]
+            at += 1
+            full += one.room.cpus < self.least
+            most = count - placed
+            if zone_room is not None:
+                most = min(most, zone_room.get(one.zone, 0))
+            if most <= 0 or not one.allows(job):
+                continue
+            fitting = min(most, one.room.holds(job))
+            one.take(job, fitting)
+            placed += fitting
+            if zone_room is not None:
+                zone_room[one.zone] = zone_room.get(one.zone, 0) - fitting
+        if full > len(self.roomy) // 4:
+            self._sift()
+
+    def _rent(
+        self, job: Job, zones: set[str] | None, count: int, within_us: float
+    ) -> PackingBin | None:
+        """Rent what gives a task its room at the least price; None if nothing is worth it."""
+        if len(self.hires) >= self.most_hires:
             return None
         best: tuple[float, int, str, str] | None = None
         chosen: Offer | None = None
-        for offer, most in offers.items():
-            kind = kinds[offer.kind]
-            if (
-                (most is not None and hired.get(offer, 0) >= most)
-                or not allowed(job, offer.kind, offer.zone, offer.spot)
-                or (zones is not None and offer.zone not in zones)
-                or not kind.holds(job)
-                or kind.boot_us * (SPOT_WORTH if offer.spot else WORTH) > within_us
-            ):
+        for offer, most in self.offers.items():
+            if most is not None and self.hired.get(offer, 0) >= most:
                 continue
-            slots = min(kind.holds(job), max(1, count))
-            # A machine far larger than what is left to place is paid for in full.
-            price = risk_price(job, kind, offer.spot, run_us.get(job.ref, 0))
-            price *= kind.holds(job) / slots if slots < kind.holds(job) / 2 else 1.0
-            key = (round(price, 6), hired.get(offer, 0), offer.kind, offer.zone)
+            if not self._worth(job, offer, zones, within_us):
+                continue
+            price = self._price(job, offer, count)
+            key = (round(price, 6), self.hired.get(offer, 0), offer.kind, offer.zone)
             if best is None or key < best:
                 best, chosen = key, offer
         if chosen is None:
             return None
-        hires.append(chosen)
-        hired[chosen] = hired.get(chosen, 0) + 1
-        one = PackingBin(kinds[chosen.kind], chosen.zone, None, chosen)
-        bins.append(one)
-        roomy.append(one)
+        self.hires.append(chosen)
+        self.hired[chosen] = self.hired.get(chosen, 0) + 1
+        one = PackingBin(self.kinds[chosen.kind], chosen.zone, None, chosen)
+        self.bins.append(one)
+        self.roomy.append(one)
         return one
 
-    def keeps(one: PackingBin, room: Room, job: Job) -> bool:
-        return room.fits(job) and allowed(job, one.kind.name, one.zone, one.offer.spot)
-
-    def held(one: PackingBin, images: frozenset[str]) -> int:
-        return 0 if one.machine is None else len(images & one.machine.images.keys())
-
-    def pin(attempt: Attempt) -> bool:
-        one = by_name.get(attempt.machine.name)
-        if one is None or not one.room.fits(attempt.work.job):
-            return False
-        one.room.take(attempt.work.job)
-        one.used += 1
-        return True
+    def _worth(self, job: Job, offer: Offer, zones: set[str] | None, within_us: float) -> bool:
+        """May the job use such a machine, and would it still be of use once it is up?"""
+        kind = self.kinds[offer.kind]
+        boots = SPOT_WORTH if offer.spot else WORTH
+        return (
+            allowed(job, offer.kind, offer.zone, offer.spot)
+            and (zones is None or offer.zone in zones)
+            and kind.holds(job) > 0
+            and kind.boot_us * boots <= within_us
+        )
 
-    def place(job: Job, count: int, zones: set[str] | None, within_us: float = float("inf")) -> int:
-        """Bins that are passed once stay full for this job: one pass, then what is rented."""
-        placed = at = full = 0
-        while placed < count:
-            if at == len(roomy) and rent(job, zones, count - placed, within_us) is None:
-                break
-            one = roomy[at]
-            at += 1
-            full += one.room.cpus < least
-            if (zones is None or one.zone in zones) and keeps(one, one.room, job):
-                fitting = min(count - placed, one.room.holds(job))
-                one.room.take(job, fitting)
-                one.used += fitting
-                placed += fitting
-        if full > len(roomy) // 4:
-            sift()
-        return placed
-
-    ranks = sorted({n.work.job.rank for n in needs} | {s.job.rank for s in spares}, reverse=True)
-    for rank in ranks:
-        here = [need for need in needs if need.work.job.rank == rank]
-        moved: dict[str, int] = {}
-        for need in here:
-            live = [a for a in need.work.live.values() if a.grace is None]
-            moved[need.work.job.ref] = max(0, need.count - sum(pin(a) for a in live))
-        sift()
-        for need in here:
-            job = need.work.job
-            zones = None
-            if job.one_zone and need.work.live:
-                zones = {a.machine.zone for a in need.work.live.values()}
-            if job.one_zone and job.gang and zones is None:
-                # One zone must hold them all: try each, keep the one that needs fewest hires.
-                tried = sorted({b.zone for b in bins} | {o.zone for o in offers})
-                zones = _best_zone(job, moved[job.ref], tried, roomy, offers, kinds)
-            place(job, moved[job.ref], zones, need.drain_us)
-        # A spare may be lent to lower ranks, which give way when it is needed: it takes nothing
-        # from them here. Counting it as taken hired machines for tasks that never had to move.
-        lent = {id(one): one.room.copy() for one in roomy}
-        for spare in (spare for spare in spares if spare.job.rank == rank):
-            for _ in range(spare.count):
-                fitting = [b for b in roomy if keeps(b, lent[id(b)], spare.job)]
-                found = max(fitting, key=lambda b: held(b, spare.images), default=None)
-                found = found or rent(spare.job, None, 1, float("inf"))
-                if found is None:
-                    break
-                lent.setdefault(id(found), found.room.copy()).take(spare.job)
-                found.used += 1
-    needed = {b.machine.name for b in bins if b.machine is not None and b.used}
-    return Plan(hires, needed)
+    def _price(self, job: Job, offer: Offer, count: int) -> float:
+        """What a slot costs. A machine far larger than what is left to place is paid in full."""
+        kind = self.kinds[offer.kind]
+        most = kind.holds(job)
+        slots = min(most, max(1, count))
+        price = risk_price(job, kind, offer.spot, self.run_us.get(job.ref, 0))
+        return price * most / slots if slots < most / 2 else price
 
 
 def _best_zone(
--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -10,6 +10,7 @@
 PREFIX = "c/"
 LEADER = "c/leader"
 FENCING_TOKEN = "c/baton"
+VERSION = "c/version"
 
 
 def member_key(name: str) -> str:
@@ -28,7 +29,14 @@
     """The value of the leader's key and of member keys."""
 
     name: str
-    incarnation: str  # the incarnation
+    incarnation: str
+    version: int = 0  # of the records that the member reads and writes (see upgrade)
+
+
+class ClusterVersion(Struct):
+    """The least version of any controller that may be at work."""
+
+    least: int
 
 
 class Grant(Struct, rename={"incarnation": "life", "fencing_token": "baton"}):
@@ -60,6 +68,7 @@
         self.blocks: dict[int, tuple[Grant, int]] = {}
         self.fencing_token: tuple[Counter, int] | None = None
         self.loads: dict[int, Load] = {}
+        self.version: tuple[ClusterVersion, int] | None = None
 
     def lives(self, name: str, incarnation: str) -> bool:
         member = self.members.get(name)
--- a/basaltlead/core/market.py
+++ b/basaltlead/core/market.py
@@ -10,7 +10,7 @@
 from basaltlead.core.bidding import BidDirection, Budget, ceiling, vertical
 from basaltlead.core.block import Block
 from basaltlead.core.demand import NO_DUE, Due
-from basaltlead.core.model import US, Work
+from basaltlead.core.model import US, Shape, Work
 
 # Of the capacity: what jobs without a promise may always bid for, however much promised jobs
 # need. They use what others leave; with nothing left for long they would not be served at all.
@@ -94,8 +94,10 @@
     def due(self, work: Work, now: int) -> Due:
         """When the job should be done: the first of its deadline and what its class is promised
         that it can still keep. Tasks of an array that must all have started by then are done a
-        run later."""
+        run later. A service is never done."""
         job = work.job
+        if job.service:
+            return NO_DUE
         spans: list[int] = []
         if job.due_us is not None:
             spans = [
@@ -141,15 +143,7 @@
         for work in works:
             if work.bid <= 0:
                 work.bid = self.first_bid(work, now)
-            rate = work.finished_recent / (span / US)
-            work.finished_recent = 0
-            work.rate = work.rate * (1 - SMOOTH) + rate * SMOOTH
-            due = self.due(work, now).at
-            if due is not None:
-                left_s = max(1.0, (due - now) / US)
-                value, wanted = work.rate, work.remaining / left_s
-            else:
-                value, wanted = float(len(work.live)), float(work.remaining)
+            value, wanted = self._measured(work, span, now)
             trend = self.trends.setdefault(work.job.ref, BidDirection())
             work.bid = vertical(
                 work.bid, value, wanted, trend,
@@ -164,9 +158,26 @@
                 self.budgets[work.job.team].pay(work.bid)
         self.share(block, now)
 
+    def _measured(self, work: Work, span: int, now: int) -> tuple[float, float]:
+        """The progress of a job over a round, and the progress that is wanted of it: finished
+        tasks against those that must finish, replicas that run against those that should, or
+        slots held against tasks that wait."""
+        if work.job.service:
+            work.rate = work.rate * (1 - SMOOTH) + work.running * SMOOTH
+            return work.rate, float(work.remaining)
+        rate = work.finished_recent / (span / US)
+        work.finished_recent = 0
+        work.rate = work.rate * (1 - SMOOTH) + rate * SMOOTH
+        due = self.due(work, now).at
+        if due is None:
+            return float(len(work.live)), float(work.remaining)
+        left_s = max(1.0, (due - now) / US)
+        return work.rate, work.remaining / left_s
+
     def promised(self, work: Work, now: int) -> bool:
-        """Has it a deadline or a promise of its class, whether or not it can still be kept?"""
-        return self.due(work, now) != NO_DUE
+        """Has it a deadline or a promise of its class, whether or not it can still be kept? Whoever
+        starts a service is promised that it runs."""
+        return work.job.service or self.due(work, now) != NO_DUE
 
     def share(self, block: Block, now: int) -> None:
         """The auction over the present capacity. Deadline jobs want what keeps them in time,
@@ -176,7 +187,8 @@
         auction a team with much work in time drained its budget, and was outbid by long tasks
         that nobody had promised anything.
         """
-        arrays = [w for w in block.works.values() if not w.closed and not w.job.gang]
+        works = [work for work in block.works.values() if not work.closed]
+        arrays = [work for work in works if work.job.shape is Shape.ARRAY]
         for work in arrays:
             work.promised = self.promised(work, now)
         promised = [self._bid(work) for work in arrays if work.promised]
@@ -226,10 +238,12 @@
 
     @staticmethod
     def _capacity(block: Block) -> float:
-        """CPUs that are for sale. Gangs hold whole machines by rank and take no part. Sold twice,
-        what they use left those that come last in start order with shares of nothing."""
+        """CPUs that are for sale. Gangs and services are placed by rank and take no part. Sold
+        twice, what they use left those that come last in start order with shares of nothing."""
         up = [m for m in block.machines.values() if m.up and not m.lost and not m.unreachable_since]
-        gangs = sum(
-            len(w.live) * w.job.size for w in block.works.values() if w.job.gang and not w.closed
+        placed = sum(
+            len(work.live) * work.job.size
+            for work in block.works.values()
+            if work.job.shape is not Shape.ARRAY and not work.closed
         )
-        return max(0.0, sum(m.kind.cpus for m in up) - gangs)
+        return max(0.0, sum(m.kind.cpus for m in up) - placed)
--- a/basaltlead/core/model.py
+++ b/basaltlead/core/model.py
@@ -1,21 +1,37 @@
 """The scheduler's own terms: jobs, machine types, attempts, machines. Times are microseconds."""
 
+from enum import Enum
+
 from msgspec import Struct
 
 US = 1_000_000
 EPS = 1e-6
 MOST_TASKS = 400  # on one machine
 
+# A replica that has run for so long shows that its service can run.
+LASTING_US = 30 * US
+# What a replica is taken to have before it wherever a run time is asked for: much longer than any
+# span that plans look at.
+STANDING_US = 24 * 3600 * US
+
 RANKS = {"best_effort": 0, "standard": 1, "high": 2, "production": 3}
 
 
+class Shape(Enum):
+    """How the tasks of a job belong together."""
+
+    ARRAY = "array"  # independent tasks, each of which runs to its end
+    GANG = "gang"  # all tasks run at the same time, or none does
+    SERVICE = "service"  # replicas, which run until the job is cancelled
+
+
 class Job(Struct, frozen=True):
     """What a user asked for."""
 
     ref: str
     job_class: str
     team: str
-    gang: bool
+    shape: Shape
     rank: int
     tasks: int
     cpus: float
@@ -33,6 +49,19 @@
     mark_s: float
     due_us: int | None  # from its submission
 
+    @property
+    def gang(self) -> bool:
+        return self.shape is Shape.GANG
+
+    @property
+    def service(self) -> bool:
+        return self.shape is Shape.SERVICE
+
+    @property
+    def together(self) -> int:
+        """How many of its tasks a team's limit must allow at once for it to be served."""
+        return 1 if self.shape is Shape.ARRAY else self.tasks
+
     @property
     def whole(self) -> bool:
         """Must all of its tasks be placed by one owner, who sees them together?"""
@@ -308,6 +337,7 @@
         self.retry_at = 0
         self.failures = 0
         self.trials = 0  # failures on other machines, or on the same one after a while
+        self.lasted = False  # has a replica of it run for long?
         self.given_up = 0  # how often a task was taken off a machine for being slow
         self.failed_on: dict[str, int] = {}  # machines to keep it off, until when
         self.bid = 0.0
@@ -377,6 +407,11 @@
     def complete(self) -> bool:
         return self.done_count >= self.job.tasks
 
+    @property
+    def proven(self) -> bool:
+        """Has it shown that it can run?"""
+        return bool(self.done_count) or self.lasted
+
     @property
     def remaining(self) -> int:
         """Tasks of this block's ranges that are not done."""
--- a/basaltlead/core/placement.py
+++ b/basaltlead/core/placement.py
@@ -6,13 +6,16 @@
 
 from basaltlead.core.model import Attempt, Job, Machine, Room, Work
 
+REPLICA_LOSS_S = 30.0  # what stopping a replica of lower rank is reckoned to cost
 
-def zones_open(work: Work, zones: Iterable[str]) -> set[str]:
-    """Zones in which one more task of the job may start, given the tasks it has anywhere."""
+
+def zones_open(work: Work, zones: Iterable[str], leaving: Attempt | None = None) -> set[str]:
+    """Zones in which one more task of the job may start, given the tasks it has anywhere, but for
+    one that is to leave its place first."""
     job = work.job
     if not (job.one_zone or job.apart):
         return set(zones)
-    held = Counter(attempt.machine.zone for attempt in work.live.values())
+    held = Counter(a.machine.zone for a in work.live.values() if a is not leaving)
     if job.one_zone and held:  # a job may ask for both: then half of it at a time, in one zone
         zones = set(held) if len(held) == 1 else set()
     return {zone for zone in zones if held[zone] < job.zone_cap}
@@ -77,6 +80,8 @@
     job = attempt.work.job
     if attempt.stage in ("planned", "sent", "fetching", "gathering"):
         return 0.0
+    if job.service:  # it only stands still until it runs elsewhere
+        return REPLICA_LOSS_S * job.size
     lost_us = now - attempt.ran_at if not job.mark_every_us else int(job.mark_s * 1e6)
     return max(0, lost_us) / 1e6 * job.size
 
@@ -85,6 +90,8 @@
     job: Job, machine: Machine, now: int, may_stop: Callable[[Work], bool]
 ) -> tuple[float, list[Attempt]] | None:
     """The attempts to stop so that a task of the job fits on the machine, and the loss."""
+    if machine.free.fits(job):
+        return 0.0, []
     room = machine.free.copy()
     chosen: list[Attempt] = []
     total = 0.0
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -4,13 +4,14 @@
 ranked once a job, and jobs that ask for the same as one that found no room are passed over.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import cached_property
 
 from basaltlead.core import gangs, placement
 from basaltlead.core.block import Block
 from basaltlead.core.block_state import Limits
-from basaltlead.core.model import RANKS, US, Attempt, Job, Machine, Work, allowed
+from basaltlead.core.model import RANKS, US, Attempt, Job, Machine, Shape, Work, allowed
+from basaltlead.core.replicas import ReplicaChoice
 
 MOST_STARTS = 2000  # of one job in one plan
 GATHER_US = 20 * US  # a gang that has waited for so long has room kept free for it
@@ -30,7 +31,7 @@
     if not team.cpus and not team.gpus:
         return False
     used = block.used(work.job.team)
-    count = work.job.tasks if work.job.gang else 1
+    count = work.job.together
     return (
         used[0] + work.job.cpus * count <= team.cpus + 1e-6
         and used[1] + work.job.gpus * count <= team.gpus + 1e-6
@@ -104,12 +105,15 @@
         for work in works:
             if work.job.gang:
                 self._gang(work)
+            elif work.job.service:
+                self._replicas(work)
             elif work.slots is None or len(work.live) < work.slots:
                 limit = work.waiting if work.slots is None else work.slots - len(work.live)
                 self._tasks(work, limit)
         for work in works:  # nothing stays idle while somebody waits
-            if not work.job.gang and work.slots is not None:
+            if work.job.shape is Shape.ARRAY and work.slots is not None:
                 self._tasks(work, work.waiting)
+        self._move_replicas()
 
     def _suited(self, work: Work, lots: Lots) -> list[Machine]:
         """The machines of some lots that a job may use. What makes machines alike is asked once
@@ -132,7 +136,7 @@
         if work.failed_on or (job.whole and work.live):
             return None
         return (
-            job.gang, job.tasks if job.gang else 1, job.rank, job.team, job.cpus, job.gpus,
+            job.shape, job.tasks if job.gang else 1, job.rank, job.team, job.cpus, job.gpus,
             job.memory_gb, job.types, job.zone, job.one_zone, job.apart, job.spot,
         )  # fmt: skip
 
@@ -250,16 +254,66 @@
 
     def _busy_us(self, machine: Machine) -> int:
         """How long the tasks on a machine will still run, as far as can be guessed."""
-        return max(
-            (
-                max(self.block.guess_us(a.work) - (self.now - (a.ran_at or self.now)), US)
-                for a in machine.attempts.values()
-            ),
-            default=0,
-        )
+        return max((self._left_us(a) for a in machine.attempts.values()), default=0)
+
+    def _left_us(self, attempt: Attempt) -> int:
+        guess = self.block.guess_us(attempt.work)
+        if attempt.work.job.service:
+            return guess
+        return max(guess - (self.now - (attempt.ran_at or self.now)), US)
+
+    # Services
+
+    def _replicas(self, work: Work) -> None:
+        """Start replicas where they run soonest; among equals where it wastes least."""
+        asks = self._asks(work)
+        if asks in self.hopeless or not self._within_limit(work.job):
+            return
+        choice = ReplicaChoice(work, self._suited(work, self.lots), self._stoppable(work), self.now)
+        for _ in range(work.waiting):
+            if not self._within_limit(work.job):
+                return
+            found = choice.best(placement.zones_open(work, self.zones))
+            if found is None:
+                if asks is not None:
+                    self.hopeless.add(asks)
+                return
+            index = work.next_index()
+            if index is None:
+                return
+            for attempt in found.stops:
+                self.block.stop_softly(attempt)
+            self.block.start(work, index, found.machine, self.block.token(), self.now)
+
+    def _move_replicas(self) -> None:
+        """Stop replicas on machines that are about to go, each once there is a place for it: it is
+        started there as soon as it is provably gone."""
+        for machine in self.block.machines.values():
+            if machine.recall_at is None and not machine.draining:
+                continue
+            for attempt in list(machine.attempts.values()):
+                if attempt.work.job.service and attempt.grace is None:
+                    self._move_replica(attempt)
+
+    def _move_replica(self, attempt: Attempt) -> None:
+        work = attempt.work
+        suited = self._suited(work, self.lots)
+        choice = ReplicaChoice(work, suited, self._stoppable(work), self.now)
+        found = choice.best(placement.zones_open(work, self.zones, leaving=attempt))
+        if found is None:
+            return
+        self.block.stop(attempt, 0.0)
+        for victim in found.stops:
+            self.block.stop_softly(victim)
 
     # Preemption
 
+    def _stoppable(self, work: Work) -> Callable[[Work], bool]:
+        """Which other jobs' tasks may be stopped to make room for one of the job."""
+        within = guaranteed(self.block, work)
+        may = work.job.rank >= HIGH_RANK or within
+        return lambda other: may and self._may_stop(work.job, within, other)
+
     def _may_stop(self, job: Job, within: bool, victim: Work) -> bool:
         if victim.job.rank < job.rank:
             return True
--- a/basaltlead/leasing.py
+++ b/basaltlead/leasing.py
@@ -9,7 +9,7 @@
 from basaltlead.clients.state import TROUBLE, State
 from basaltlead.core.block_state import Limits
 from basaltlead.core.leadership import LEADER
-from basaltlead.core.model import Job
+from basaltlead.core.model import STANDING_US, Job
 from basaltlead.events import wait_for_event
 from basaltlead.logs import log
 from basaltlead.membership import Membership
@@ -23,8 +23,8 @@
     StoredJob,
     StoredMachine,
     job_of,
-    split_open,
 )  # fmt: skip
+from basaltlead.result_rows import split_open
 from basaltlead.watching import follow
 from basaltlead.wire.state import Change, Guard, Put, Row
 
@@ -98,7 +98,7 @@
         if prefix == OPEN:
             ref, part = split_open(key)
             if part is None:
-                job = job_of(msgspec.json.decode(raw, type=StoredJob).job)
+                job = job_of(msgspec.json.decode(raw, type=StoredJob).sent)
                 self.jobs[ref] = (job, version)
                 self.wake.set()
         elif prefix == LEASE:
@@ -139,7 +139,8 @@
             known = self.jobs.get(ref)
             if known is not None:
                 for low, high, block in lease.parts:
-                    work = (high - low) * known[0].cpus * max(known[0].guess_us, 1)
+                    each = STANDING_US if known[0].service else max(known[0].guess_us, 1)
+                    work = (high - low) * known[0].cpus * each
                     out[block] = out.get(block, 0.0) + work
         return out
 
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -1,10 +1,11 @@
 """This process among the others: its session lease, who leads, who owns what."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
+from basaltlead import upgrade
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired, State
 from basaltlead.clock import chance, now_us
@@ -13,8 +14,10 @@
     FENCING_TOKEN,
     LEADER,
     PREFIX,
+    VERSION,
     Claim,
     Cluster,
+    ClusterVersion,
     Counter,
     Grant,
     Load,
@@ -40,8 +43,11 @@
     done.
     """
 
-    def __init__(self, name: str, state: State, session_lease_us: int, blocks: int) -> None:
+    def __init__(
+        self, name: str, peers: Iterable[str], state: State, session_lease_us: int, blocks: int
+    ) -> None:
         self.name = name
+        self.names = sorted({name, *peers})  # of all configured controllers
         self.state = state
         self.ttl_us = session_lease_us
         # An owner acts no longer than a session lease after its last read of the open jobs was
@@ -180,17 +186,18 @@
         session_lease = await self.state.create_lease(self.ttl_us)
         old = await self.state.get(member_key(self.name))
         incarnation = f"{chance.getrandbits(48):012x}"
+        claim = Claim(self.name, incarnation, upgrade.CURRENT)
         # Guarded on what stood there, so that a late copy of this very request from an earlier
         # incarnation can't put that one back into our place.
         version = await self.state.multi(
             [Guard(member_key(self.name), old.version if old else 0)],
-            [Put(member_key(self.name), Claim(self.name, incarnation), session_lease)],
+            [Put(member_key(self.name), claim, session_lease)],
         )
         self.session_lease, self.incarnation, self.version = session_lease, incarnation, version
         self.renewed_until = leadership.session_validity_end(sent, self.ttl_us)
         self.contact_at = now_us()
-        self.cluster.members[self.name] = (Claim(self.name, incarnation), version)
-        log.info("joined as %s/%s", self.name, incarnation)
+        self.cluster.members[self.name] = (claim, version)
+        log.info("joined as %s/%s, version %d", self.name, incarnation, upgrade.CURRENT)
         self.wake.set()
         self.changed()
 
@@ -233,6 +240,8 @@
                 self.cluster.leader = (msgspec.json.decode(raw, type=Claim), version)
             elif key == FENCING_TOKEN:
                 self.cluster.fencing_token = (msgspec.json.decode(raw, type=Counter), version)
+            elif key == VERSION:
+                self.cluster.version = (msgspec.json.decode(raw, type=ClusterVersion), version)
             elif key.startswith("c/member/"):
                 name = key.removeprefix("c/member/")
                 known = self.cluster.members.get(name)
@@ -285,6 +294,8 @@
                         held = self.cluster.blocks.get(block)
                         if held is None or self.may_replace(held[0]):
                             await self._grant(block)
+                    if upgrade.due(self.cluster, self.names):
+                        await self._raise_version()
             except Conflict as conflict:
                 log.debug("claim lost on %s", conflict)
                 await asyncio.sleep(self.chance.uniform(0.02, 0.1))
@@ -312,7 +323,7 @@
             guards.append(Guard(LEADER, version))
             if claim.name != self.name:  # this key is the proof that the old leader's lease ended
                 guards.append(Guard(member_key(claim.name), cluster.member_version(claim.name)))
-        claim = Claim(self.name, self.incarnation)
+        claim = Claim(self.name, self.incarnation, upgrade.CURRENT)
         version = await self.state.multi(guards, [Put(LEADER, claim, self.session_lease)])
         self.cluster.leader = (claim, version)
         log.info("leading as %s/%s", self.name, self.incarnation)
@@ -344,6 +355,19 @@
         )
         self.changed()
 
+    async def _raise_version(self) -> None:
+        """Note for good that all controllers are of the present version. Guarded on the member key
+        of each: one that has just been replaced by an older process makes it fail."""
+        cluster = self.cluster
+        assert cluster.leader is not None
+        known = cluster.version[1] if cluster.version is not None else 0
+        members = [Guard(member_key(name), cluster.member_version(name)) for name in self.names]
+        guards = [Guard(LEADER, cluster.leader[1]), Guard(VERSION, known), *members]
+        raised = upgrade.raised()
+        version = await self.state.multi(guards, [Put(VERSION, raised)])
+        cluster.version = (raised, version)
+        log.info("all controllers are of version %d", raised.least)
+
     async def step_down(self, block: int, leader_too: bool) -> bool:
         """Hand a block back, and the leader's place if so wished, for others to take; the caller
         has stopped acting for it."""
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from basaltlead.autoscaler import Autoscaler
-from basaltlead.clients.base import Backoff, Unavailable, encode
-from basaltlead.clients.cloud import Cloud, NoCapacity
-from basaltlead.clients.state import TROUBLE, State
+from basaltlead.clients.base import encode
+from basaltlead.clients.cloud import Cloud
+from basaltlead.clients.state import State
 from basaltlead.clock import now_us
 from basaltlead.core.cancellations import Cancellations
 from basaltlead.core.fleet import OfferBook
@@ -21,18 +21,18 @@
 from basaltlead.dispatcher import LEAST_SOCKETS
 from basaltlead.leasing import Leasing
 from basaltlead.logs import LogRateLimiter, log
+from basaltlead.machine_types import MachineTypes
 from basaltlead.membership import Membership
-from basaltlead.net.http import Failed, Request, Response, Server
+from basaltlead.net.http import Request, Response, Server
 from basaltlead.owner import Owner, limits_of
 from basaltlead.peers import Peers
-from basaltlead.records import HIRE, LEASE, MACHINE, OPEN, TYPES, kind_of
+from basaltlead.records import HIRE, LEASE, MACHINE, OPEN
 from basaltlead.settings import Settings
 from basaltlead.user_api import UserApi, refusal
-from basaltlead.wire.cloud import MachineType, Types
-from basaltlead.wire.state import Put
 from basaltlead.wire.workers import Elsewhere, Report
 
-BID_BYTES = 32  # what a bid takes of a stored record at most
+BID_BYTES = 40  # what a bid takes of a stored record at most
+RECORD_BYTES = 64  # and the rest of the record
 # For our own calls to state service, cloud and peers, the least that go to workers, and what the
 # process itself has open.
 RESERVED_SOCKETS = 80 + LEAST_SOCKETS
@@ -45,13 +45,13 @@
         self.settings = settings
         facts = settings.facts
         spread = min(facts.nodes, settings.operator.blocks)  # nodes that own something
-        self.state = State(
-            settings.services.state, facts.state.rps, facts.state.write_rps, facts.nodes, spread
-        )
+        limits = settings.store_limits
+        self.state = State(settings.services.state, limits, facts.nodes, spread)
         self.cloud = Cloud(settings.services.cloud, facts.cloud.rps / spread)
         self.member = Membership(
-            settings.member, self.state, settings.session_lease_us, settings.operator.blocks
-        )
+            settings.member, [peer.member for peer in settings.known], self.state,
+            settings.session_lease_us, settings.operator.blocks,
+        )  # fmt: skip
         self.member.changed = self._changed
         self.cancellations = Cancellations(now_us())
         self.peers = Peers(self.member, settings.internal_addr, settings.known, self.cancellations)
@@ -61,13 +61,14 @@
         blocks = settings.operator.blocks
         self.leasing = Leasing(self.member, self.state, limits_of(settings), blocks)
         self.user_api = UserApi(
-            self.state, self.member, limits_of(settings), facts.state.txn_ops, blocks,
-            self.cancellations,
+            self.state, self.member, limits_of(settings), limits, blocks, self.cancellations,
         )  # fmt: skip
         self.user_api.cancelled = self._cancelled
         self.kinds: dict[str, Kind] = self.user_api.kinds
         self.owners: dict[int, Owner] = {}
-        self.kept_types: set[str] = set()
+        self.types = MachineTypes(
+            self.cloud, self.state, self.member, self.kinds, lambda: bool(self.owners)
+        )
         self.offer_book = OfferBook()
         self.log_limiter = LogRateLimiter()
         self.server: Server | None = None
@@ -81,7 +82,7 @@
         log.info("%s listens on %s", self.settings.member, self.settings.front)
         for name, work in (
             ("keep", self.member.keep), ("watch", self.member.watch),
-            ("lead", self.member.lead), ("types", self._types), ("mind", self._mind),
+            ("lead", self.member.lead), ("types", self.types.follow), ("mind", self._mind),
             ("ask", self.peers.ask),
         ):  # fmt: skip
             self._spawn(work, name)
@@ -128,7 +129,7 @@
         facts = self.settings.facts
         terms = Terms(
             int(op.round_s * US), int(op.refill_s * US), op.budget / op.blocks,
-            op.reserve_price, op.threshold, int(facts.state.value_kb * 1024 * 0.8 / BID_BYTES),
+            op.reserve_price, op.threshold, most_bids(self.settings.store_limits.value_bytes),
         )  # fmt: skip
         market = Market(terms, [t.name for t in facts.teams], Promises.of(facts.objectives))
         owner = Owner(
@@ -207,44 +208,6 @@
             return known > 1 and now - owner.dispatcher.heard_at > patience
         return len(owner.block.unsynced) > 1 and now - owner.block.took_at > 9 * US + report_us
 
-    async def _types(self) -> None:
-        """Machine types and their present prices."""
-        backoff = Backoff(200_000, 2_000_000, self.member.chance)
-        while True:
-            try:
-                types = await self.cloud.types()
-                for kind in map(kind_of, types):
-                    self.kinds[kind.name] = kind
-                backoff.reset()
-                await self._keep_types(types)
-                await asyncio.sleep(30 if self.owners else 180)
-            except (Failed, Unavailable, NoCapacity) as fault:
-                log.info("machine types: %s", fault)
-                await self._stored_types()
-                await backoff.rest()
-
-    async def _keep_types(self, types: list[MachineType]) -> None:
-        """Whoever starts while the cloud is in trouble finds the types in the state service."""
-        known = {kind_of(one).name for one in types}
-        if not self.owners or known == self.kept_types:
-            return
-        try:
-            await self.state.multi([self.member.guard()], [Put(TYPES, Types(types))])
-            self.kept_types = known
-        except TROUBLE as fault:
-            log.debug("storing types: %s", fault)
-
-    async def _stored_types(self) -> None:
-        if self.kinds:
-            return
-        try:
-            row = await self.state.get(TYPES)
-        except (Failed, Unavailable):
-            return
-        if row is not None:
-            for kind in map(kind_of, msgspec.json.decode(row.value, type=Types).types):
-                self.kinds.setdefault(kind.name, kind)
-
     # Requests
 
     def handle(self, request: Request) -> "Response | Coroutine[Any, Any, Response]":
@@ -285,6 +248,11 @@
         return Response(421, encode(Elsewhere(elsewhere)))
 
 
+def most_bids(value_bytes: int) -> int:
+    """How many bids fit into a team's stored record."""
+    return max(1, (value_bytes - RECORD_BYTES) // BID_BYTES)
+
+
 def serve(settings: Settings) -> int:
     """Run until killed."""
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -31,16 +31,12 @@
     MACHINE,
     OPEN,
     TEAM,
-    Progress,
     StoredHire,
     StoredJob,
     StoredMachine,
     job_of,
-    load_progress,
-    progress_key,
-    split_open,
-    stretch_count,
 )  # fmt: skip
+from basaltlead.result_rows import CHUNK_BLOCKS, ResultLayout, load_results, split_open
 from basaltlead.results import Results
 from basaltlead.settings import Settings
 from basaltlead.watching import follow
@@ -51,12 +47,20 @@
 TICK_US = US // 10  # how exactly the ends of leases are noticed
 
 
+class Arrival(NamedTuple):
+    """A job that came: when, with which image, and for how many tasks room should be ready."""
+
+    at: int
+    image: str
+    tasks: int
+
+
 class JobClass:
     """What was lately seen of a class."""
 
     def __init__(self, last: Job) -> None:
         self.last = last
-        self.seen: deque[tuple[int, str]] = deque(maxlen=200)  # when, and with which image
+        self.seen: deque[Arrival] = deque(maxlen=200)
 
 
 class Owner:
@@ -86,6 +90,9 @@
         self.cancellations_read_at: int | None = None
         self.hires: dict[str, StoredHire] = {}
         self.versions: dict[str, int] = {}  # of rows that we write more than once
+        self.limits = settings.store_limits
+        self.layout = ResultLayout(self.limits.value_bytes)
+        self.orphans: list[str] = []  # rows of jobs that are over, found while loading
         self.shared = settings.operator.blocks > 1  # is the work leased in parts?
         self.early: dict[str, int] = {}  # answers given before the block was loaded
         self.tasks: set[asyncio.Task[None]] = set()
@@ -173,6 +180,7 @@
         self.spawn(self._watch(revision), "loop watch")
         self.spawn(self.results.finish(), "loop finish")
         self.spawn(self.results.flush(), "loop flush")
+        self.spawn(self.results.sweep_orphans(self.orphans), "sweep orphans")
         self.spawn(self._plan(), "loop plan")
         self.spawn(self._rounds(), "loop rounds")
         if self.shared:
@@ -230,21 +238,23 @@
             if ref in self.block.works or self.is_over(ref):
                 return  # its end has been told, and the watch will show that too
             age = age_us(stored.at)
-            work = self.block.add_job(job_of(stored.job), version, now, age)
+            work = self.block.add_job(job_of(stored.sent), version, now, age)
             if self.shared:
                 work.lease(self.rebalancer.of(ref))
             work.bid = self.market.first_bid(work, now)
             work.promised = work.job.gang or self.market.promised(work, now)
             job_class = self.job_classes.setdefault(work.job.job_class, JobClass(work.job))
             job_class.last = work.job
-            job_class.seen.append((now - age, work.job.image))
+            job = work.job
+            job_class.seen.append(Arrival(now - age, job.image, job.tasks if job.service else 1))
             log.info("job %s (%s, %d tasks) taken up", ref, work.job.job_class, work.job.tasks)
             self.wake.set()
-        elif ref in self.block.works and (not self.loaded or part[0] != self.number):
-            if part[0] == self.number:
+        elif ref in self.block.works and not (self.loaded and self._is_own(part[0])):
+            if self._is_own(part[0]):
                 self.versions[key] = version
-            progress = msgspec.json.decode(raw, type=Progress)
-            load_progress(self.block.works[ref], part[1], progress, part[0] == self.number)
+            load_results(self.block.works[ref], self.number, *part, raw, self.layout)
+        elif ref not in self.block.works and not self.loaded:
+            self.orphans.append(key)
 
     # Jobs
 
@@ -263,6 +273,10 @@
         if self.cancellations_read_at is not None and since <= self.cancellations_read_at:
             self.cancellations_read_at = max(self.cancellations_read_at, until)
 
+    def _is_own(self, row_block: int) -> bool:
+        """Does a row of results that names this block come from us, in either layout?"""
+        return row_block in (self.number, CHUNK_BLOCKS + self.number)
+
     def _change(self, change: Change) -> None:
         if change.put is not None:
             self._take_open(change.put, change.value, change.version, now_us())
@@ -283,8 +297,10 @@
         if work is not None:
             self.block.close_job(ref, now_us())
             self.results.forget(ref)
-            for stretch in range(stretch_count(work.job.tasks)):
-                self.versions.pop(progress_key(ref, self.number, stretch), None)
+            rows = self.layout.keys(ref, work.job.tasks, [self.number])
+            stored = [key for key in rows if self.versions.pop(key, None) is not None]
+            if len(stored) > self.limits.operations - 2:  # more than its end took along
+                self.spawn(self.results.sweep(ref, stored), f"sweep {ref}")
             self.wake.set()
 
     # Reports
@@ -370,11 +386,9 @@
                     f"{TEAM}{team}/{self.number}": self.market.record(team, self.block.works)
                     for team in self.market.budgets
                 }
-                keys = list(rows)
-                most = self.settings.facts.state.txn_ops
-                for low in range(0, len(keys), most):
-                    some = {key: rows[key] for key in keys[low : low + most]}
-                    await self.results.store(self.put(some))
+                sizes = {key: len(encode(row)) for key, row in rows.items()}
+                for keys in self.limits.batches(sizes):
+                    await self.results.store(self.put({key: rows[key] for key in keys}))
             await asyncio.sleep(self.market.terms.round_us / US)
 
     def _say_round(self) -> None:
--- a/basaltlead/rebalancer.py
+++ b/basaltlead/rebalancer.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
-from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired
+from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired, TooLarge
 from basaltlead.clock import now_us
 from basaltlead.core.block_state import Limits
 from basaltlead.core.leadership import Load, load_key
@@ -115,6 +115,8 @@
                     if LEASE + ref in conflict.failed or OPEN + ref in conflict.failed:
                         break  # the record is another: the watch tells what it says
                     await backoff.rest()
+                except TooLarge:
+                    break  # it can never be written: the tasks stay here
                 except (Failed, Unavailable, SessionLeaseExpired):
                     await backoff.rest()
             row = await self.owner.state.get(LEASE + ref)
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -2,16 +2,17 @@
 
 c/...            members, leader, blocks, the counter of fencing tokens (core/leadership)
 open/<job>       a job that is accepted and not over; the key is never rewritten
-open/<job>/<n>   results of one stretch of its tasks
+open/<job>/...   results of some of its tasks (see result_rows)
 over/<job>       the final state of a job
 hire/<id>        a hire: written before its request, with the names after it
 mach/<name>      a machine that tasks may have been started on
 team/<name>      budget and bids
 """
 
+import msgspec
 from msgspec import Struct
 
-from basaltlead.core.model import RANKS, US, Job, Kind, Work
+from basaltlead.core.model import RANKS, US, Job, Kind, Shape
 from basaltlead.wire.cloud import MachineType
 from basaltlead.wire.users import Submission
 
@@ -23,18 +24,32 @@
 TEAM = "team/"
 TYPES = "types"
 
-STRETCH = 24_576  # tasks whose results share one key: 4 KiB of text
 
+class StoredJob(Struct, omit_defaults=True):
+    """An accepted job. A service stands in a field of its own, so that a controller of a version
+    that would take it for an array can't read the record (see upgrade)."""
 
-class StoredJob(Struct):
-    job: Submission
-    at: int  # time of day of its acceptance
+    job: Submission | None = None
+    at: int = 0  # time of day of its acceptance
+    service: Submission | None = None
 
+    @staticmethod
+    def of(sent: Submission, at: int) -> "StoredJob":
+        """The record of a submission."""
+        if sent.shape == "service":
+            return StoredJob(at=at, service=sent)
+        return StoredJob(job=sent, at=at)
 
-class Progress(Struct):
-    done: bytes
-    count: int
-    running: int = 0
+    @property
+    def sent(self) -> Submission:
+        """The job as it was submitted."""
+        found = self.job if self.job is not None else self.service
+        if found is None:
+            raise msgspec.ValidationError("a stored job without its description")
+        return found
+
+
+SHAPES = {"batch": Shape.ARRAY, "group": Shape.GANG, "service": Shape.SERVICE}
 
 
 class Lease(Struct):
@@ -72,7 +87,7 @@
 
 def job_of(sent: Submission) -> Job:
     return Job(
-        ref=sent.ref, job_class=sent.job_class, team=sent.team, gang=sent.shape == "group",
+        ref=sent.ref, job_class=sent.job_class, team=sent.team, shape=SHAPES[sent.shape],
         rank=RANKS[sent.rank], tasks=sent.tasks, cpus=sent.cpus, gpus=sent.gpus,
         memory_gb=sent.memory_gb, image=sent.image, image_gb=sent.image_gb,
         types=None if sent.types is None else frozenset(sent.types), zone=sent.zone,
@@ -88,43 +103,3 @@
         price=sent.price, spot_price=sent.spot_price, boot_us=int(sent.boot_s * US),
         cache_gb=sent.cache_gb, pull_gb_per_s=sent.pull_gb_per_s, zones=tuple(sent.zones),
     )  # fmt: skip
-
-
-def stretches(work: Work) -> dict[int, list[int]]:
-    """Results not yet stored, by stretch."""
-    out: dict[int, list[int]] = {}
-    for index in work.unstored:
-        out.setdefault(index // STRETCH, []).append(index)
-    return out
-
-
-def progress_of(work: Work, stretch: int) -> Progress:
-    low, high = stretch * STRETCH // 8, (stretch + 1) * STRETCH // 8
-    done = bytes(work.own[low:high])
-    running = work.running if stretch == 0 else 0
-    return Progress(done, sum(byte.bit_count() for byte in done), running)
-
-
-def load_progress(work: Work, stretch: int, progress: Progress, own: bool) -> None:
-    """Take in stored results, our block's own or another's."""
-    low = stretch * STRETCH // 8
-    for offset, byte in enumerate(progress.done):
-        if byte:
-            for bit in range(8):
-                if byte >> bit & 1:
-                    work.note((low + offset) * 8 + bit, own)
-
-
-def split_open(key: str) -> tuple[str, tuple[int, int] | None]:
-    """The job, and the block and stretch (None: the job itself), of a key under `open/`."""
-    ref, _, tail = key[len(OPEN) :].partition("/")
-    block, _, stretch = tail.partition(".")
-    return ref, (int(block), int(stretch)) if block.isdigit() and stretch.isdigit() else None
-
-
-def progress_key(ref: str, block: int, stretch: int) -> str:
-    return f"{OPEN}{ref}/{block}.{stretch}"
-
-
-def stretch_count(tasks: int) -> int:
-    return -(-tasks // STRETCH)
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -15,11 +15,8 @@
     OPEN,
     OVER,
     Final,
-    progress_key,
-    progress_of,
-    stretch_count,
-    stretches,
 )  # fmt: skip
+from basaltlead.result_rows import split_open
 from basaltlead.wire.state import Drop, Guard, Put
 
 if TYPE_CHECKING:
@@ -61,12 +58,20 @@
                     continue
                 if now - self.flushed_at.get(work.job.ref, 0) < FLUSH_US:
                     continue
-                shown = work.running
-                if work.unstored or (shown and not self.stored_running.get(work.job.ref)):
+                if work.unstored or self._stale(work):
                     self.flushed_at[work.job.ref] = now
-                    self.stored_running[work.job.ref] = shown
                     await self.store(self._progress(work))
 
+    def _stale(self, work: Work) -> bool:
+        """Do users see another number of running tasks than they should? Tasks of arrays come and
+        go all the time: of them it is enough to show that some run."""
+        stored = self.stored_running.get(work.job.ref)
+        if not work.job.service:
+            return bool(work.running) and not stored
+        if stored is None and work.version > self.owner.block.version:
+            stored = 0  # nobody else can have written any
+        return stored != work.running
+
     async def store(self, storing: Coroutine[Any, Any, None]) -> None:
         try:
             await storing
@@ -78,30 +83,25 @@
             await asyncio.sleep(0.2)
 
     async def _progress(self, work: Work) -> None:
-        ref = work.job.ref
-        parts = stretches(work) or {0: []}
-        for number, indices in list(parts.items()):
-            key = progress_key(ref, self.owner.number, number)
-            row = progress_of(work, number)
-            await self.owner.put({key: row}, [Guard(OPEN + ref, work.version)])
-            self.owner.block.stored(work, indices)
+        ref, running = work.job.ref, work.running
+        for row in self.owner.layout.unstored(work, self.owner.number):
+            await self.owner.put({row.key: row.value}, [Guard(OPEN + ref, work.version)])
+            self.owner.block.stored(work, row.tasks)
+        self.stored_running[ref] = running
 
     async def _finish(self, work: Work) -> None:
         ref = work.job.ref
         indices = list(work.unstored)
         final = Final("done", work.job.tasks)
-        drops = [
-            Drop(progress_key(ref, block, stretch))
-            for block in range(self.owner.settings.operator.blocks)
-            for stretch in range(stretch_count(work.job.tasks))
-        ]
+        blocks = range(self.owner.settings.operator.blocks)
+        rows = self.owner.layout.keys(ref, work.job.tasks, blocks)
         if self.owner.shared:
-            drops.insert(0, Drop(LEASE + ref))
-        room = self.owner.settings.facts.state.txn_ops - 2
+            rows.insert(0, LEASE + ref)
+        room = self.owner.limits.operations - 2
         try:
             await self.owner.state.multi(
                 [*self.owner.guards(), Guard(OPEN + ref, work.version), Guard(OVER + ref, 0)],
-                [Put(OVER + ref, final), Drop(OPEN + ref), *drops[: max(0, room)]],
+                [Put(OVER + ref, final), Drop(OPEN + ref), *map(Drop, rows[:room])],
             )
         except Conflict as conflict:
             # An earlier try of ours that went unanswered may have been executed, or the job
@@ -112,8 +112,28 @@
             raise
         self.owner.block.stored(work, indices)
         log.info("job %s done after %.1f s", ref, (now_us() - work.asked_at) / US)
+        for key in rows:
+            self.owner.versions.pop(key, None)
         self.owner.close(ref)
-        for low in range(max(0, room), len(drops), room + 2):  # rows nobody reads any more
-            await self.owner.state.multi(
-                self.owner.guards(), drops[low : low + room + 2], can_wait=True
-            )
+        if rows[room:]:
+            await self.sweep(ref, rows[room:])
+
+    async def sweep(self, ref: str, keys: list[str]) -> None:
+        """Drop rows of a job that is over, and that nobody reads any more. Guarded on its being
+        over: what was listed page by page may show rows of a job that is not."""
+        most = self.owner.limits.operations
+        guards = [*self.owner.guards(), Guard(OPEN + ref, 0)]
+        for low in range(0, len(keys), most):
+            drops = [Drop(key) for key in keys[low : low + most]]
+            await self.store(self._drop(guards, drops))
+
+    async def _drop(self, guards: list[Guard], drops: list[Drop]) -> None:
+        await self.owner.state.multi(guards, drops, can_wait=True)
+
+    async def sweep_orphans(self, keys: list[str]) -> None:
+        """Drop the rows that an earlier owner left behind when their jobs ended."""
+        jobs: dict[str, list[str]] = {}
+        for key in keys:
+            jobs.setdefault(split_open(key)[0], []).append(key)
+        for ref, rows in jobs.items():
+            await self.sweep(ref, rows)
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from basaltlead.store_limits import StoreLimits
+
 US = 1_000_000
 
 Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9_.-]+$")]
@@ -58,11 +60,25 @@
     cancel_s: Positive
 
 
+# A transaction of a single change can't move a job from open to over.
+TransactionOps = Annotated[int, Meta(ge=2, lt=1_000_000)]
+
+
+class NextStateLimits(Struct, frozen=True):
+    """What the state service will limit to from some moment on, without notice."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: TransactionOps | None = None
+
+
 class StateLimits(Struct):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
-    txn_ops: Count
+    txn_ops: TransactionOps
+    next: NextStateLimits = NextStateLimits()
 
 
 class CloudLimits(Struct):
@@ -111,6 +127,18 @@
     known: list[Peer] = []
     operator: Operator = Operator()
 
+    @property
+    def store_limits(self) -> StoreLimits:
+        """What holds both before and after the announced change: it comes without notice, so
+        everything is kept to the lower of both limits from the start."""
+        now, later = self.facts.state, self.facts.state.next
+        return StoreLimits(
+            rps=_lower(now.rps, later.rps),
+            write_rps=_lower(now.write_rps, later.write_rps),
+            value_bytes=int(_lower(now.value_kb, later.value_kb) * 1024),
+            operations=now.txn_ops if later.txn_ops is None else min(now.txn_ops, later.txn_ops),
+        )
+
     @property
     def staleness_us(self) -> int:
         """How long an owner may act without a look at the cancellations.
@@ -142,6 +170,10 @@
         return min(int(wished * US), self.staleness_us)
 
 
+def _lower(now: float, later: float | None) -> float:
+    return now if later is None else min(now, later)
+
+
 def _convert(data: Any, kind: Any, where: str) -> Any:
     try:
         return msgspec.convert(data, kind, strict=kind is not Operator)
--- /dev/null
+++ b/basaltlead/store_limits.py
@@ -0,0 +1,53 @@
+"""What the state service takes, and how rows are divided into transactions that it accepts."""
+
+from collections.abc import Iterator, Mapping
+from typing import TypeVar
+
+from msgspec import Struct
+
+T = TypeVar("T")
+
+TRANSACTION_BYTES = 64 * 1024
+GUARDS_PER_OPERATION = 4
+# Of a transaction's bytes, what guards, keys and punctuation may take beside the values.
+ENVELOPE_BYTES = 8 * 1024
+
+
+class StoreLimits(Struct, frozen=True):
+    """Limits of the state service that every request of ours keeps to."""
+
+    rps: float
+    write_rps: float
+    value_bytes: int
+    operations: int  # puts and deletes in one transaction
+
+    @property
+    def guards(self) -> int:
+        """Conditions in one transaction."""
+        return self.operations * GUARDS_PER_OPERATION
+
+    def excess(self, guards: int, operations: int, values: list[int], total: int) -> str:
+        """Which limit a transaction of these sizes would break; empty if none."""
+        if operations > self.operations:
+            return f"{operations} operations, {self.operations} are allowed"
+        if guards > self.guards:
+            return f"{guards} guards, {self.guards} are allowed"
+        if max(values, default=0) > self.value_bytes:
+            return f"a value of {max(values)} bytes, {self.value_bytes} are allowed"
+        if total > TRANSACTION_BYTES:
+            return f"{total} bytes, {TRANSACTION_BYTES} are allowed"
+        return ""
+
+    def batches(self, sizes: Mapping[str, int]) -> Iterator[list[str]]:
+        """Divide rows, given the size of each value, into transactions that are accepted."""
+        batch: list[str] = []
+        used = 0
+        for key, size in sizes.items():
+            full = len(batch) >= self.operations
+            if batch and (full or used + size > TRANSACTION_BYTES - ENVELOPE_BYTES):
+                yield batch
+                batch, used = [], 0
+            batch.append(key)
+            used += size
+        if batch:
+            yield batch
--- a/basaltlead/user_api.py
+++ b/basaltlead/user_api.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
+from basaltlead import upgrade
 from basaltlead.clients.base import Unavailable, encode
-from basaltlead.clients.state import Conflict, SessionLeaseExpired, State
+from basaltlead.clients.state import Conflict, SessionLeaseExpired, State, TooLarge
 from basaltlead.clock import now_us, wall_us
 from basaltlead.core.block_state import Limits
 from basaltlead.core.cancellations import Cancellations
@@ -22,18 +23,18 @@
     OPEN,
     OVER,
     Final,
-    Progress,
     StoredJob,
     job_of,
-    split_open,
-    stretch_count,
 )  # fmt: skip
+from basaltlead.result_rows import Progress, ResultLayout, split_open
+from basaltlead.store_limits import StoreLimits
 from basaltlead.wire.state import Drop, Guard, Put, Row
 from basaltlead.wire.users import REF, JobAnswer, Refusal, Submission
 
 T = TypeVar("T")
 
 KNOWN_REF = re.compile(REF)
+MOST_JOB_TASKS = 100_000  # of one job
 FINALS_KEPT = 5000
 LATER = "Retry-After: 1\r\n"
 MUCH_LATER = "Retry-After: 3\r\n"
@@ -55,14 +56,16 @@
         state: State,
         member: Membership,
         teams: dict[str, Limits],
-        txn_ops: int,
+        limits: StoreLimits,
         blocks: int,
         cancellations: Cancellations,
     ) -> None:
         self.state = state
         self.member = member
         self.teams = teams
-        self.txn_ops = txn_ops
+        self.limits = limits
+        layout = ResultLayout(limits.value_bytes)
+        self.most_rows = 1 + layout.most_rows(MOST_JOB_TASKS, blocks)
         self.blocks = blocks
         self.kinds: dict[str, Kind] = {}
         self.limiter = Limiter()
@@ -121,10 +124,16 @@
             # A job that was accepted stays accepted, whatever has changed since.
             known = await self._look(sent.ref)
             return known if known is not None else refusal(422, never)
+        if sent.shape == "service" and not upgrade.services_allowed(self.member.cluster):
+            known = await self._look(sent.ref)
+            return known if known is not None else refusal(503, "not all upgraded", MUCH_LATER)
         guards = [self.member.guard(), Guard(OPEN + sent.ref, 0), Guard(OVER + sent.ref, 0)]
         try:
-            stored = StoredJob(sent, wall_us())
+            stored = StoredJob.of(sent, wall_us())
             await self.state.multi(guards, [Put(OPEN + sent.ref, stored)])
+        except TooLarge as fault:
+            known = await self._look(sent.ref)
+            return known if known is not None else refusal(422, str(fault))
         except Conflict as conflict:
             if not any(key.endswith("/" + sent.ref) for key in conflict.failed):
                 raise
@@ -147,9 +156,10 @@
         }
         if not zones:
             return "a task fits no allowed machine type"
-        if job.gang and job.zone_cap * (1 if job.one_zone else len(zones)) < job.tasks:
-            return "a gang that may not be where it must be"
-        count = job.tasks if job.gang else 1
+        zone_count = 1 if job.one_zone else len(zones)
+        if job.together > job.zone_cap * zone_count:
+            return "tasks that may not be where they must be"
+        count = job.together
         if (team.cpus_max and job.cpus * count > team.cpus_max + 1e-6) or (
             team.gpus_max and job.gpus * count > team.gpus_max + 1e-6
         ):
@@ -162,8 +172,7 @@
         """The open job's rows: itself first, then its results; empty if it is not open."""
         if self.member.cut_off:
             raise Unavailable("the state service does not answer")
-        most = 1 + self.blocks * stretch_count(100_000)
-        page = await self.state.page(OPEN + ref, most=most)
+        page = await self.state.page(OPEN + ref, most=self.most_rows)
         rows = [row for row in page.rows if split_open(row.key)[0] == ref]
         return rows if rows and rows[0].key == OPEN + ref else []
 
@@ -228,7 +237,7 @@
             drops = [Drop(row.key) for row in rows]
             if self.blocks > 1:
                 drops.insert(1, Drop(LEASE + ref))
-            drops = drops[: self.txn_ops - 1]
+            drops = drops[: self.limits.operations - 1]
             try:
                 await self.state.multi(
                     [self.member.guard(), Guard(OPEN + ref, rows[0].version), Guard(OVER + ref, 0)],
