Stories of services, of an upgrade with both versions at work, and of limits that fall

A service that only fails stops nobody else's work, and a replica that had run for long blames no machine: two faults that the stories showed.

--- a/basaltlead/core/block_state.py
+++ b/basaltlead/core/block_state.py
@@ -21,6 +21,7 @@
 )
 
 KEEP_OFF_US = 30 * US  # for how long a job keeps off a machine on which it failed
+TRIALS_OF_ITS_OWN = 2  # after so many a job that only fails is itself at fault
 TRIALS_BEFORE_PAUSE = 3  # after so many a job that only fails waits between two tries
 TOKEN_BITS = 24  # attempts an owner can start under one fencing token: 16 million
 
@@ -356,8 +357,7 @@
             over=True, forgettable=not result, loose=attempt.loose or attempt.flying
         )
         machine.listed_attempts[(*attempt.key, attempt.token)] = rest
-        if job.service:
-            self._replica_ended(attempt, why, now)
+        lasted = job.service and self._replica_ended(attempt, why, now)
         if result:
             machine.faults.clear()
             known = attempt.ran_at and not attempt.adopted
@@ -367,7 +367,7 @@
         self._remove(attempt, now)
         if result or work.closed:
             return
-        if why == "error":
+        if why == "error" and not lasted:
             self._failed(machine, work, now)
         elif why == "full":
             machine.avoid_until = now + 2 * US
@@ -381,18 +381,21 @@
             for other in list(work.live.values()):  # the attempt is lost: clear it away
                 self.stop(other, 0.0)
 
-    def _replica_ended(self, attempt: Attempt, why: str, now: int) -> None:
-        """One that had run for long is simply started anew. One that ends by itself soon after
-        its start, again and again, is started at growing intervals, as one that fails is."""
+    def _replica_ended(self, attempt: Attempt, why: str, now: int) -> bool:
+        """One that had run for long (True) is simply started anew, and no machine is blamed. One
+        that ends by itself soon after its start, again and again, is started at growing intervals,
+        as one that fails is."""
         work = attempt.work
         ran_us = now - attempt.ran_at if attempt.ran_at else 0
         if ran_us >= LASTING_US:
             work.lasted = True
             work.trials = 0
-        elif why == "done":
+            return True
+        if why == "done":
             self._tried(work, attempt.machine, now)
             if work.trials >= TRIALS_BEFORE_PAUSE:
                 work.retry_at = now + retry_pause_us(work.trials)
+        return False
 
     @staticmethod
     def _tried(work: Work, machine: Machine, now: int) -> None:
@@ -412,7 +415,7 @@
         to blame for it, and after a third time it waits for longer and longer."""
         self._tried(work, machine, now)
         work.failures += 1
-        if work.trials >= 2 and not work.done_count:
+        if work.trials >= TRIALS_OF_ITS_OWN and not work.done_count:
             self._clear_failures(work)
             if work.trials >= TRIALS_BEFORE_PAUSE:
                 # A service's replicas fail together: only its trials tell how often it was tried.
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -9,7 +9,7 @@
 
 from basaltlead.core import gangs, placement
 from basaltlead.core.block import Block
-from basaltlead.core.block_state import Limits
+from basaltlead.core.block_state import TRIALS_OF_ITS_OWN, Limits
 from basaltlead.core.model import RANKS, US, Attempt, Job, Machine, Shape, Work, allowed
 from basaltlead.core.replicas import ReplicaChoice
 
@@ -309,9 +309,10 @@
     # Preemption
 
     def _stoppable(self, work: Work) -> Callable[[Work], bool]:
-        """Which other jobs' tasks may be stopped to make room for one of the job."""
+        """Which other jobs' tasks may be stopped to make room for a replica. For a service that
+        only fails nobody has to give way: it would stop others' work with each of its tries."""
         within = guaranteed(self.block, work)
-        may = work.job.rank >= HIGH_RANK or within
+        may = work.trials < TRIALS_OF_ITS_OWN and (work.job.rank >= HIGH_RANK or within)
         return lambda other: may and self._may_stop(work.job, within, other)
 
     def _may_stop(self, job: Job, within: bool, victim: Work) -> bool:
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -48,6 +48,7 @@
     ) -> None:
         self.name = name
         self.names = sorted({name, *peers})  # of all configured controllers
+        self.record_version = upgrade.CURRENT
         self.state = state
         self.ttl_us = session_lease_us
         # An owner acts no longer than a session lease after its last read of the open jobs was
@@ -186,7 +187,7 @@
         session_lease = await self.state.create_lease(self.ttl_us)
         old = await self.state.get(member_key(self.name))
         incarnation = f"{chance.getrandbits(48):012x}"
-        claim = Claim(self.name, incarnation, upgrade.CURRENT)
+        claim = Claim(self.name, incarnation, self.record_version)
         # Guarded on what stood there, so that a late copy of this very request from an earlier
         # incarnation can't put that one back into our place.
         version = await self.state.multi(
@@ -197,7 +198,7 @@
         self.renewed_until = leadership.session_validity_end(sent, self.ttl_us)
         self.contact_at = now_us()
         self.cluster.members[self.name] = (claim, version)
-        log.info("joined as %s/%s, version %d", self.name, incarnation, upgrade.CURRENT)
+        log.info("joined as %s/%s, version %d", self.name, incarnation, self.record_version)
         self.wake.set()
         self.changed()
 
@@ -323,7 +324,7 @@
             guards.append(Guard(LEADER, version))
             if claim.name != self.name:  # this key is the proof that the old leader's lease ended
                 guards.append(Guard(member_key(claim.name), cluster.member_version(claim.name)))
-        claim = Claim(self.name, self.incarnation, upgrade.CURRENT)
+        claim = Claim(self.name, self.incarnation, self.record_version)
         version = await self.state.multi(guards, [Put(LEADER, claim, self.session_lease)])
         self.cluster.leader = (claim, version)
         log.info("leading as %s/%s", self.name, self.incarnation)
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -41,6 +41,10 @@
 
 
 class Node:
+    """One controller process."""
+
+    owner_class = Owner
+
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         facts = settings.facts
@@ -132,7 +136,7 @@
             op.reserve_price, op.threshold, most_bids(self.settings.store_limits.value_bytes),
         )  # fmt: skip
         market = Market(terms, [t.name for t in facts.teams], Promises.of(facts.objectives))
-        owner = Owner(
+        owner = self.owner_class(
             self.settings, self.member, self.state, number, grant, version, market, self.kinds
         )
         owner.foreign = lambda name: self.leasing.block_of(name) not in (None, number)
--- /dev/null
+++ b/tests/fakes/old_version.py
@@ -0,0 +1,43 @@
+"""A controller as it was before services: what it writes, and what it makes of newer records.
+
+It runs the present code with the old schemas: its member key names no version, it stores results
+in stretch rows only, and it reads stored jobs and results as the old version did. `tests/data`
+holds records that the old version itself has written.
+"""
+
+import msgspec
+
+from basaltlead.core.leadership import Grant
+from basaltlead.node import Node
+from basaltlead.owner import Owner
+from basaltlead.result_rows import CHUNK_BLOCKS, ResultLayout, split_open
+from basaltlead.settings import Settings
+from tests import old_schemas
+
+
+class OldOwner(Owner):
+    """Takes a service for an array, and of a chunk row sees an empty list."""
+
+    def _take_open(self, key: str, raw: msgspec.Raw, version: int, now: int) -> None:
+        _, part = split_open(key)
+        if part is None:
+            stored = msgspec.json.decode(raw, type=old_schemas.StoredJob)
+            raw = msgspec.Raw(msgspec.json.encode(stored))
+        elif part[0] >= CHUNK_BLOCKS:
+            assert not msgspec.json.decode(raw, type=old_schemas.Progress).done
+            return
+        super()._take_open(key, raw, version, now)
+
+
+class OldNode(Node):
+    """A controller of the old version."""
+
+    owner_class = OldOwner
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings)
+        self.member.record_version = 0
+
+    def _take_up(self, number: int, grant: Grant, version: int) -> None:
+        super()._take_up(number, grant, version)
+        self.owners[number].layout = ResultLayout(1 << 30)
--- a/tests/fakes/rules.py
+++ b/tests/fakes/rules.py
@@ -132,7 +132,7 @@
         if any(job.get(field) is None for field in self.FIELDS):
             return False
         most = self.world.limits.get(job["Crew"], 0)
-        count = job["Pieces"] if job["Shape"] == "group" else 1
+        count = 1 if job["Shape"] == "batch" else job["Pieces"]
         return (not most or job["Cores"] * count <= most + 1e-9) and any(
             job["Cores"] <= kind["Cores"] and job["Gpus"] <= kind["Gpus"]
             and job["MemoryGb"] <= kind["MemoryGb"]
@@ -173,6 +173,8 @@
             if not self.world.asked_cancel.get(ref):
                 self.say(f"went_back {ref}: nobody cancelled it")
             self.cancelled_at.setdefault(ref, self.world.loop.time())
+        if self.world.jobs[ref]["Shape"] == "service" and (stage == "done" or body["done"]):
+            self.say(f"service done {ref}: {body}")
         if stage == "done":
             pieces = self.world.jobs[ref]["Pieces"]
             if any(f"{ref}/{i}" not in self.results for i in range(pieces)):
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -33,6 +33,12 @@
         self.garble: Callable[[Response], Response] | None = None  # what becomes of its answers
         self.event = asyncio.Event()
         self.writes = 0
+        self.value_bytes = 8 * 1024
+        self.operations = 8  # puts and deletes in one transaction
+        self.oversized: list[str] = []  # what was refused for its size
+        self.write_rps: float | None = None  # changes a second; None: any number
+        self.write_burst_at = 0.0  # when its burst would be full again
+        self.refused_writes = 0  # how many transactions were answered with 429
         self.slowness = 1.0  # how many times as long as usual its answers take
         self.chance = random.Random(1)
 
@@ -125,7 +131,34 @@
         rows = [{"Path": k, "V": self.keys[k][0], "Stamp": self.keys[k][1]} for k in names[:most]]
         return reply(200, {"Rows": rows, "HasNext": len(names) > most, "Ledger": self.revision})
 
+    def _within_rate(self, changes: int) -> bool:
+        """Above the rate, with a burst of a second's worth, changes are refused."""
+        if self.write_rps is None:
+            return True
+        full_at = max(self.write_burst_at, self.loop.time()) + changes / self.write_rps
+        if full_at - self.loop.time() > 1.0:
+            return False
+        self.write_burst_at = full_at
+        return True
+
+    def _excess(self, body: dict[str, Any]) -> str:
+        """Which limit a transaction breaks."""
+        changes = body.get("Apply", [])
+        values = [json.dumps(c["V"], separators=(",", ":")) for c in changes if "Put" in c]
+        if max(map(len, values), default=0) > self.value_bytes:
+            return f"value of {max(map(len, values))} bytes: {[c.get('Put') for c in changes]}"
+        if len(changes) > self.operations or len(body.get("Guards", [])) > 4 * self.operations:
+            return f"{len(changes)} changes, {len(body.get('Guards', []))} guards"
+        return "over 64 KiB" if len(json.dumps(body)) > 64 * 1024 else ""
+
     def _multi(self, body: dict[str, Any]) -> Response:
+        if not self._within_rate(len(body.get("Apply", []))):
+            self.refused_writes += 1
+            return reply(429, {"error": "too many"})
+        excess = self._excess(body)
+        if excess:
+            self.oversized.append(excess)
+            return reply(400, {"error": excess})
         failed = [
             guard["Path"] for guard in body.get("Guards", [])
             if self.keys.get(guard["Path"], (None, 0, None))[1] != guard["Stamp"]
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -241,7 +241,7 @@
                     self.world.rule_checker.entered(task, self, key[1])
                     whole = job["Shape"] == "group"
                     entry["Stage"] = "gathering" if whole else "running"
-                    entry["at"] = now + job["RunS"]
+                    entry["at"] = now + self._run_s(job)
                     self.change.set()
                 if entry["Stage"] == "gathering" and self.world.gang_complete(task, key[1]):
                     entry["Stage"] = "running"
@@ -252,10 +252,18 @@
                         self.world.end_gang(task, key[1])
                     elif self.faulty or job.get("Broken"):
                         self._end(key, "error")
+                    elif job["Shape"] == "service":
+                        self._end(key, job["EndsWith"])
                     else:
                         self.world.rule_checker.completed(task)
                         self._end(key, "done")
 
+    def _run_s(self, job: dict[str, Any]) -> float:
+        """A replica runs for ever, but for those of a job that says otherwise."""
+        if job["Shape"] != "service" or self.faulty or job.get("Broken"):
+            return float(job["RunS"])
+        return float(job["RunS"]) if "EndsWith" in job else 1e9
+
     async def handle(self, request: Request) -> Response:
         while self.hung or self.deaf:
             await asyncio.sleep(0.2)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -7,6 +7,7 @@
 
 from basaltlead.net.http import Pool
 from tests.fakes.cloud import FakeCloud
+from tests.fakes.old_version import OldNode
 from tests.fakes.rules import RuleChecker
 from tests.fakes.state import FakeState
 from tests.fakes.worker import FakeWorker
@@ -21,7 +22,7 @@
     def __init__(
         self, loop: Loop, seed: int = 1, nodes: int = 3, limits: dict[str, float] | None = None,
         operator: dict[str, Any] | None = None, lease: float = FakeWorker.LEASE,
-        cancel: float = CANCEL,
+        cancel: float = CANCEL, later: dict[str, float] | None = None,
     ) -> None:  # fmt: skip
         self.loop = loop
         self.net = loop.net
@@ -31,6 +32,8 @@
         self.limits = limits or {}
         self.nodes = [f"node-{i}" for i in range(nodes)]
         self.operator = operator or {}
+        self.later = later  # what the state service will limit to from some moment on
+        self.old: set[str] = set()  # controllers that start in the version before services
         self.write_rps = 200.0  # changes a second that the state service takes
         self.copies = 0.0  # how many of the workers' reports arrive a second time, late
         self.state = FakeState(loop)
@@ -79,7 +82,8 @@
                     },
                     "state": {
                         "rps": 500.0, "write_rps": self.write_rps, "value_kb": 8.0, "txn_ops": 8,
-                    },
+                    }
+                    | ({"next": self.later} if self.later is not None else {}),
                     "cloud": {"rps": 10.0, "list_lag_s": 2.0},
                 },
             },
@@ -90,12 +94,20 @@
         from basaltlead.node import Node
 
         async def run() -> None:
-            node = Node(self.settings(name))
+            node = (OldNode if name in self.old else Node)(self.settings(name))
             self.parts[name] = node
             await node.run()
 
         self.running[name] = on_host(self.host(name), run())
 
+    def lower_limits(self) -> None:
+        """The announced limits hold from now on."""
+        assert self.later is not None
+        if "value_kb" in self.later:
+            self.state.value_bytes = int(self.later["value_kb"] * 1024)
+        self.state.write_rps = self.later.get("write_rps")
+        self.state.operations = int(self.later.get("txn_ops", self.state.operations))
+
     def crash(self, name: str) -> None:
         """The process ends without a word."""
         node = self.parts.pop(name, None)
@@ -233,6 +245,14 @@
             pool.close()
         return status, json.loads(answer)
 
+    def service(self, number: int, **fields: Any) -> dict[str, Any]:
+        """A service of three replicas."""
+        values = {
+            "Shape": "service", "Rank": "production", "Pieces": 3, "GuessS": 0.0, "Loaners": False,
+            "Lane": "desk",
+        }  # fmt: skip
+        return self.job(number, **(values | fields))
+
     async def submit(self, job: dict[str, Any], node: str | None = None) -> int:
         """Until it is accepted, at any node."""
         self.jobs[job["Ref"]] = job
@@ -279,10 +299,17 @@
             left = {ref for ref in left if await self.poll(ref) != "done"}
             await asyncio.sleep(1)
 
+    async def until_served(self, *refs: str, seconds: float = 60.0) -> None:
+        """Until all replicas of these services run."""
+        await self.until(
+            lambda: all(len(self.on(ref)) == self.jobs[ref]["Pieces"] for ref in refs), seconds
+        )
+
     def on(self, ref: str) -> list[str]:
         return [task for task in self.rule_checker.on if task.partition("/")[0] == ref]
 
     def verdict(self) -> None:
         self.rule_checker.check()
         assert not self.rule_checker.broken, "; ".join(self.rule_checker.broken)
+        assert not self.state.oversized, self.state.oversized[:3]
         assert self.rule_checker.starts > 0
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -36,6 +36,36 @@
         await asyncio.sleep(chance.uniform(0, 4))
 
 
+async def _service_users(world: World, chance: random.Random, services: int) -> None:
+    """Start services, look at them, and cancel some, once the cluster takes any."""
+    for number in range(501, 501 + services):
+        job = world.service(
+            number,
+            Crew=chance.choice(["red", "blue"]),
+            Pieces=chance.choice([1, 3, 4]),
+            Apart=chance.random() < 0.5,
+            Rank=chance.choice(["production", "production", "standard"]),
+        )
+        await world.submit(job)
+        await asyncio.sleep(chance.uniform(0, 10))
+        await world.poll(job["Ref"])
+        if chance.random() < 0.5:
+            await world.cancel(job["Ref"])
+
+
+async def _upgrade(world: World, chance: random.Random) -> None:
+    """Each process is replaced in its turn; one that dies before comes back as it was."""
+    for name in world.nodes:
+        await asyncio.sleep(chance.uniform(1, 10))
+        while name not in world.running or world.host(name) in world.loop.frozen:
+            await asyncio.sleep(0.5)
+        world.crash(name)
+        world.old.discard(name)
+        await asyncio.sleep(chance.uniform(0.2, 3))
+        if name not in world.running:
+            world.boot(name)
+
+
 async def _trouble(world: World, chance: random.Random) -> None:
     """One trouble after the other, often before the last one is over."""
     pending: list[asyncio.Task[None]] = []
@@ -186,36 +216,67 @@
 @pytest.mark.parametrize("blocks", [1, 3])
 @pytest.mark.parametrize("seed", range(10))
 def test_no_rule_breaks_on_a_day_of_random_failures(seed: int, blocks: int) -> None:
-    _play_day(seed, blocks, machines=12, jobs=25)
+    _play_day(seed, blocks, machines=12, count=25)
 
 
 @pytest.mark.parametrize("seed", range(100, 103))
 def test_no_rule_breaks_on_such_a_day_of_a_large_fleet(seed: int) -> None:
-    _play_day(seed, blocks=1, machines=70, jobs=70)
+    _play_day(seed, blocks=1, machines=70, count=70)
+
+
+@pytest.mark.parametrize("seed", range(200, 208))
+def test_no_rule_breaks_with_services_across_an_upgrade(seed: int) -> None:
+    """Both versions at work, and limits that fall some time after the last old process."""
+    _play_day(seed, blocks=1 if seed % 4 else 3, machines=12, count=15, standing=8)
+
+
+async def _second_half(world: World, chance: random.Random, services: int) -> None:
+    if not services:
+        return
+    await _upgrade(world, chance)
+    lowering = asyncio.get_running_loop().call_later(chance.uniform(0, 20), world.lower_limits)
+    await _service_users(world, chance, services)
+    lowering.cancel()
+    world.lower_limits()
 
 
-def _play_day(seed: int, blocks: int, machines: int, jobs: int) -> None:
+def _play_day(seed: int, blocks: int, machines: int, count: int, standing: int = 0) -> None:
     async def story(loop: Loop) -> None:
         chance = random.Random(seed)
         limits = {"blue": machines / 2} if seed % 2 else None
-        world = World(loop, seed, limits=limits, operator={"blocks": blocks})
+        later = {"value_kb": 1.0, "txn_ops": 4, "write_rps": 60.0} if standing else None
+        world = World(loop, seed, limits=limits, operator={"blocks": blocks}, later=later)
+        world.old = set(world.nodes) if standing else set()
         world.copies = 0.1
         world.cloud.capacity = machines
         await world.start()
         trouble = loop.create_task(_trouble(world, chance))
-        users = loop.create_task(_users(world, chance, jobs))
-        while not users.done():
+        users = loop.create_task(_users(world, chance, count))
+        rest = loop.create_task(_second_half(world, chance, standing))
+        while not (users.done() and rest.done()):
             world.rule_checker.check()
             for block in range(blocks):
                 world.owner(block)  # never two
             await asyncio.sleep(0.5)
         await users
+        await rest
         trouble.cancel()
         # Everything heals; every job that was accepted and not cancelled must come to its end.
         world.heal()
         assert not any(task.done() for task in world.running.values())
         left = [ref for ref in world.jobs if ref not in world.rule_checker.cancelled_at]
-        await world.until_done(*left, seconds=400)
+        services = [ref for ref in left if world.jobs[ref]["Shape"] == "service"]
+        jobs = set(left) - set(services)
+        if limits is None:
+            await world.until_done(*jobs, seconds=400)
+        # Services hold a team's limit for as long as they stand: others of it wait for that.
+        unlimited = [ref for ref in services if world.jobs[ref]["Crew"] not in (limits or {})]
+        await world.until_served(*unlimited, seconds=120)
+        for ref in services:
+            await world.cancel(ref)
+        await asyncio.sleep(world.cancel_s)
+        assert not any(world.on(ref) for ref in services)
+        await world.until_done(*jobs, seconds=400)
         world.verdict()
 
     play(story, seed)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,305 @@
+"""Limits of the state service: at the edge of each, and when they fall without notice."""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from basaltlead import cli
+from basaltlead.clients.base import encode
+from basaltlead.clients.state import State, TooLarge
+from basaltlead.core.market import Market, Promises, Terms
+from basaltlead.core.model import US, Work
+from basaltlead.machine_types import pages_of
+from basaltlead.node import most_bids
+from basaltlead.result_rows import (
+    CHUNK_BLOCKS,
+    STRETCH,
+    ProgressChunk,
+    ResultLayout,
+    load_results,
+    split_open,
+)
+from basaltlead.store_limits import TRANSACTION_BYTES, StoreLimits
+from basaltlead.wire.cloud import MachineType
+from basaltlead.wire.state import Drop, Guard, Put
+from tests.fakes import World
+from tests.test_block import a_job
+from tests.world import Loop, play
+
+LIMITS = StoreLimits(rps=100.0, write_rps=50.0, value_bytes=200, operations=3)
+
+
+def _sizes(guards: int, values: list[int], total: int) -> str:
+    return LIMITS.excess(guards, len(values), values, total)
+
+
+def test_each_limit_holds_to_the_byte_and_to_the_operation() -> None:
+    assert _sizes(12, [200, 200, 200], TRANSACTION_BYTES) == ""
+    assert "guards" in _sizes(13, [1], 100)
+    assert "operations" in _sizes(1, [1, 1, 1, 1], 100)
+    assert "201 bytes" in _sizes(1, [200, 201], 500)
+    assert f"{TRANSACTION_BYTES + 1} bytes" in _sizes(1, [1], TRANSACTION_BYTES + 1)
+
+
+def test_rows_are_divided_by_operations_and_by_bytes() -> None:
+    sizes = {f"k{i}": 100 for i in range(7)}
+    assert [len(batch) for batch in LIMITS.batches(sizes)] == [3, 3, 1]
+    large = {f"k{i}": 30_000 for i in range(3)}
+    assert [len(batch) for batch in LIMITS.batches(large)] == [1, 1, 1]
+    assert list(LIMITS.batches({})) == []
+
+
+@pytest.mark.parametrize(("size", "sent"), [(198, True), (199, False)])
+def test_a_transaction_over_a_limit_is_never_sent(size: int, sent: bool) -> None:
+    """Such a request can't succeed; without the check it would be sent again and again."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.state.start()
+        state = State(world.state.ADDRESS, LIMITS, 1, 1)
+        world.state.value_bytes = LIMITS.value_bytes
+        value = "x" * size  # and two quotes
+        if sent:
+            await state.multi([], [Put("k", value)])
+        else:
+            with pytest.raises(TooLarge):
+                await state.multi([], [Put("k", value)])
+        assert world.state.oversized == []
+        assert ("k" in world.state.keys) == sent
+        with pytest.raises(TooLarge):
+            await state.multi([], [Drop(str(n)) for n in range(4)])
+        with pytest.raises(TooLarge):
+            await state.multi([Guard(str(n), 0) for n in range(13)], [Drop("k")])
+        await state.multi([Guard(f"g{n}", 0) for n in range(12)], [Drop("k")])
+
+    play(story)
+
+
+# Results
+
+
+def _work(tasks: int) -> Work:
+    return Work(a_job(tasks=tasks), 5, 0, 0)
+
+
+@pytest.mark.parametrize("value_bytes", [300, 2048, 8192, 32_768])
+@pytest.mark.parametrize("tasks", [1, 1200, 24_576, 24_577, 100_000])
+def test_results_of_any_job_fit_into_values_and_are_read_again(
+    value_bytes: int, tasks: int
+) -> None:
+    layout = ResultLayout(value_bytes)
+    work = _work(tasks)
+    wanted = set(range(0, tasks, 7)) | {tasks - 1}
+    for index in wanted:
+        work.finish(index)
+    rows = layout.unstored(work, 0)
+    again = _work(tasks)
+    for row in rows:
+        raw = encode(row.value)
+        assert len(raw) <= value_bytes
+        _, part = split_open(row.key)
+        assert part is not None
+        load_results(again, 0, *part, msgspec.Raw(raw), layout)
+    assert {index for index in range(tasks) if again.is_done(index)} == wanted
+    assert {index for row in rows for index in row.tasks} == wanted
+    assert {row.key for row in rows} <= set(layout.keys(work.job.ref, tasks, [0]))
+    assert 1 + len(layout.keys(work.job.ref, tasks, [0])) <= 1 + layout.most_rows(tasks, 1)
+    assert sum(row.value.count for row in rows) == len(wanted)
+
+
+def test_results_that_were_stored_larger_are_read_and_never_written_again() -> None:
+    before, after = ResultLayout(32_768), ResultLayout(2048)
+    old = _work(STRETCH)
+    for index in range(0, 20_000, 3):
+        old.finish(index)
+    (row,) = before.unstored(old, 0)
+    assert len(encode(row.value)) > 2048
+    work = _work(STRETCH)
+    load_results(work, 0, 0, 0, msgspec.Raw(encode(row.value)), after)
+    assert work.done_count == old.done_count
+    work.finish(1)
+    (new,) = after.unstored(work, 0)
+    assert isinstance(new.value, ProgressChunk)
+    assert new.value.count == 1  # what the old row holds is not counted twice
+    assert split_open(new.key) == ("req-000001", (CHUNK_BLOCKS, 0))
+
+
+def test_budgets_types_and_hires_fit_into_values_however_many_there_are() -> None:
+    value_bytes = 2048
+    terms = Terms(10 * US, 300 * US, 1e8, 0.01, 0.05, most_bids(value_bytes))
+    market = Market(terms, ["red"], Promises())
+    works = {}
+    for number in range(500):
+        work = Work(a_job(ref=f"req-{number:015d}"), 5, 0, 0)
+        work.bid = 99_999_999.9999
+        works[work.job.ref] = work
+    assert len(encode(market.record("red", works))) <= value_bytes
+    types = [
+        MachineType(f"type-{n}", 4.0, 0.0, 16.0, 0.123456, 40.0, ["zone-a", "zone-b", "zone-c"])
+        for n in range(50)
+    ]
+    pages = pages_of(types, value_bytes)
+    assert [one for page in pages for one in page] == types
+    assert len(pages) > 1
+    assert all(len(encode({"Grades": page, "pages": 99})) <= value_bytes for page in pages)
+
+
+# Whole controllers
+
+
+def test_a_submission_that_can_not_be_stored_is_refused_and_one_byte_less_is_taken() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, later={"value_kb": 2.0})
+        await world.start()
+        await asyncio.sleep(2)
+        grades = ["small", "large"]
+        job = world.job(1, Grades=grades)
+        status, _ = await world.ask("node-0", "POST", "/api/jobs", job)
+        assert status == 201
+        stored = len(encode(world.state.keys["open/req-000001"][0]))
+        grades += ["x" * 97] * ((2048 - stored) // 100)  # two quotes and a comma each
+        grades.append("y" * (2048 - stored - 100 * (len(grades) - 2) - 3))
+        fits, larger = dict(job), dict(job)
+        fits["Ref"], larger["Ref"] = "req-000002", "req-000003"
+        fits["Grades"], larger["Grades"] = grades, [*grades[:-1], grades[-1] + "y"]
+        status, _ = await world.ask("node-0", "POST", "/api/jobs", fits)
+        assert status == 201
+        assert len(encode(world.state.keys["open/req-000002"][0])) == 2048
+        status, _ = await world.ask("node-0", "POST", "/api/jobs", larger)
+        assert status == 422
+        assert "open/req-000003" not in world.state.keys
+        assert world.state.oversized == []
+
+    play(story)
+
+
+def test_limits_fall_in_the_middle_of_a_day_and_nothing_is_ever_too_large() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, later={"value_kb": 1.0, "txn_ops": 3, "write_rps": 20.0})
+        await world.start()
+        tiny: dict[str, Any] = {"Cores": 0.02, "MemoryGb": 0.01, "RunS": 1.0}
+        await world.submit(world.job(1, Pieces=7000, **tiny))
+        await world.submit(world.job(2, Pieces=7000, **(tiny | {"RunS": 5.0})))
+        await world.until(lambda: len(world.rule_checker.results) > 500)
+        world.lower_limits()
+        for number in range(3, 12):
+            await world.submit(world.job(number, Pieces=5, RunS=2.0))
+        assert await world.submit(world.service(20)) == 201
+        assert await world.cancel("req-000002") == "withdrawn"
+        await world.until_done("req-000001", seconds=240)
+        await world.until_done(*[f"req-{n:06d}" for n in range(3, 12)])
+        await world.cancel("req-000020")
+        await asyncio.sleep(30)  # rows of what is over are dropped in their own time
+        assert [key for key in world.state.keys if key.startswith("open/")] == []
+        world.verdict()
+
+    play(story)
+
+
+def test_rows_that_an_earlier_owner_left_behind_are_dropped_by_the_next() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        for number in range(12):
+            row = {"done": "", "count": 0, "running": 0}
+            world.state.keys[f"open/req-000009/0.{number}"] = (row, number + 1, None)
+        world.state.revision = 12
+        await world.start()
+        await asyncio.sleep(10)
+        assert not [key for key in world.state.keys if key.startswith("open/")]
+
+    play(story)
+
+
+def test_above_the_rate_users_and_leases_go_first_and_nobody_asks_in_a_storm() -> None:
+    """The state service takes a fifth of what it announced."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop, later={"write_rps": 20.0})
+        await world.start()
+        await asyncio.sleep(3)
+        members = {name: world.parts[name].member.incarnation for name in world.nodes}
+        world.state.write_rps = 4.0
+        for number in range(1, 30):
+            await world.submit(world.job(number, Pieces=3, RunS=2.0))
+        assert await world.cancel("req-000029") == "withdrawn"
+        await world.until_done(*[f"req-{n:06d}" for n in range(1, 29)], seconds=200)
+        assert {name: world.parts[name].member.incarnation for name in world.nodes} == members
+        assert world.state.refused_writes < 5 * loop.time() - 5 * 1000
+        world.verdict()
+
+    play(story)
+
+
+# Settings
+
+SETTINGS = """
+member = "anvil-0"
+location = "a"
+front = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+nodes = 1
+zones = ["a"]
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 40.0
+gang_peer_s = 4.0
+cancel_s = 35.0
+[facts.state]
+rps = 250.0
+write_rps = 50.0
+value_kb = 32.0
+txn_ops = 16
+{next}
+[facts.cloud]
+rps = 3.0
+list_lag_s = 8.0
+"""
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("value_kb = 0", "facts.state.next.value_kb"),
+        ('value_kb = "2"', "facts.state.next.value_kb"),
+        ("txn_ops = 1", "facts.state.next.txn_ops"),
+        ("txn_ops = 2.5", "facts.state.next.txn_ops"),
+        ("write_rps = -1.0", "facts.state.next.write_rps"),
+        ("rps = 0.0", "facts.state.next.rps"),
+    ],
+)
+def test_a_bad_limit_is_refused_by_name(
+    line: str, field: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace("{next}", f"[facts.state.next]\n{line}"))
+    assert cli.main(["serve", "--config", str(path)]) == 2
+    assert field in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("", StoreLimits(250.0, 50.0, 32_768, 16)),
+        ("[facts.state.next]\nvalue_kb = 2.0", StoreLimits(250.0, 50.0, 2048, 16)),
+        (
+            "[facts.state.next]\nrps = 9\nwrite_rps = 35.0\nvalue_kb = 64\ntxn_ops = 5",
+            StoreLimits(9.0, 35.0, 32_768, 5),
+        ),
+    ],
+)
+def test_the_lower_of_both_limits_holds_from_the_start(
+    text: str, wanted: StoreLimits, tmp_path: Path
+) -> None:
+    from basaltlead import settings
+
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace("{next}", text))
+    assert settings.load(str(path)).store_limits == wanted
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,379 @@
+"""Both versions side by side, each on the other's data, and what happens if an old one comes back.
+
+`data/production_records.json` was written by the version before services itself: in a checkout of
+the commit that deploy/service.toml names, a script submitted jobs of every shape to a `World` of
+`tests/fakes`, cancelled one, took the state service away for 5 s, and kept the first record of
+each kind as the state service got it, and the first message of each kind that a controller got
+from another. Records of members, blocks, jobs, results (one of 24,576 tasks), hires, machines and
+teams are among them.
+"""
+
+import asyncio
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from basaltlead import upgrade
+from basaltlead.core.leadership import Claim, Cluster, ClusterVersion, Counter, Grant
+from basaltlead.core.market import TeamRecord
+from basaltlead.core.model import Shape
+from basaltlead.peers import decoder
+from basaltlead.records import Final, StoredHire, StoredJob, StoredMachine, job_of
+from basaltlead.result_rows import Progress
+from tests import old_schemas
+from tests.fakes import FakeWorker, World
+from tests.world import Loop, play
+
+DATA = json.loads((Path(__file__).parent / "data" / "production_records.json").read_text())
+TYPES: dict[str, Any] = {
+    "c/baton": Counter, "c/block": Grant, "c/leader": Claim, "c/member": Claim, "hire": StoredHire,
+    "mach": StoredMachine, "open": StoredJob, "over": Final, "result": Progress, "team": TeamRecord,
+}  # fmt: skip
+
+
+def _kind(key: str) -> str:
+    parts = key.split("/")
+    if parts[0] == "open" and len(parts) == 3:
+        return "result"
+    return "/".join(parts[:2]) if parts[0] == "c" else parts[0]
+
+
+# Records and messages
+
+
+def test_every_record_of_the_old_version_is_read_as_it_was_meant() -> None:
+    kinds = set()
+    for key, value in DATA["records"]:
+        kind = _kind(key)
+        read = msgspec.json.decode(msgspec.json.encode(value), type=TYPES[kind])
+        kinds.add(kind)
+        if isinstance(read, Claim):
+            assert read.version == 0
+        if isinstance(read, StoredJob):
+            assert read.sent.ref == key.removeprefix("open/")
+            shapes = {"batch": Shape.ARRAY, "group": Shape.GANG, "service": Shape.SERVICE}
+            assert job_of(read.sent).shape is shapes[value["job"]["Shape"]]
+        elif not isinstance(read, Claim):
+            assert msgspec.to_builtins(read) == value
+    assert kinds == set(TYPES)
+
+
+def test_messages_of_the_old_version_are_read_and_ours_are_spelled_as_its_own() -> None:
+    for message in DATA["messages"]:
+        raw = msgspec.json.encode(message)
+        assert msgspec.to_builtins(decoder.decode(raw)) == message
+        assert msgspec.json.encode(decoder.decode(raw)) == raw
+
+
+async def _seeded(loop: Loop) -> World:
+    """A world whose state service holds what the old version left behind; all processes ended."""
+    world = World(loop)
+    for number, (key, value) in enumerate(DATA["records"], 1):
+        if not key.startswith(("c/member", "c/leader")):  # those ended with their session leases
+            world.state.keys[key] = (value, number, None)
+            world.state.revision = number
+        if key.startswith("open/") and key.count("/") == 1:
+            world.jobs[value["job"]["Ref"]] = value["job"] | {"RunS": 1.0}
+    await world.start()
+    return world
+
+
+def test_what_the_old_version_stored_goes_on() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _seeded(loop)
+        await world.until(lambda: world.owner() is not None)
+        assert await world.poll("req-000005") == "done"
+        assert await world.poll("req-000006") == "withdrawn"
+        await world.until_served("req-000004")  # a service that was taken for an array
+        await world.until_done("req-000002", seconds=60)
+        assert await world.cancel("req-000004") == "withdrawn"
+        owner = world.owner()
+        assert owner is not None
+        large = world.parts[owner].owners[0].block.works["req-000001"]
+        done = sum(v["count"] for k, v in DATA["records"] if k == "open/req-000001/0.0")
+        assert large.done_count >= done > 0
+        assert not world.state.oversized
+
+    play(story)
+
+
+def test_what_we_write_beside_an_old_member_can_be_read_by_it() -> None:
+    """Jobs, results of a large array, hires, machines, budgets: and no service, no version."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop, later={"value_kb": 2.0, "txn_ops": 4})
+        world.old = {"node-1"}
+        await world.start()
+        tiny: dict[str, Any] = {"Cores": 0.01, "MemoryGb": 0.01, "RunS": 0.2}
+        await world.submit(world.job(1, Pieces=13_000, **tiny))
+        await world.submit(world.job(2, Shape="group", Pieces=3, RunS=300.0))
+        await world.submit(world.job(3, Pieces=6, RunS=300.0, GuessS=300.0))
+        status, body = await world.ask("node-0", "POST", "/api/jobs", world.service(4))
+        assert status == 503, body
+        for _ in range(60):
+            await asyncio.sleep(0.25)
+            for key, (value, _, _) in world.state.keys.items():
+                old_schemas.read(key, value)
+        assert any("/1000." in key for key in world.state.keys)  # results of the large array
+        assert "c/version" not in world.state.keys
+        assert not world.state.oversized
+
+    play(story)
+
+
+def test_a_service_is_stored_so_that_an_old_owner_can_not_take_it_for_an_array() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        assert await world.submit(world.service(1)) == 201
+        with pytest.raises(msgspec.ValidationError):
+            old_schemas.read("open/req-000001", world.state.keys["open/req-000001"][0])
+        stored = world.state.keys["open/req-000001"][0]
+        assert msgspec.convert(stored, StoredJob).sent.shape == "service"
+        assert old_schemas.type_of("c/version") is None  # it looks at no such key
+        await world.until_served("req-000001")
+        world.verdict()
+
+    play(story)
+
+
+# Which version the cluster has
+
+
+def _cluster(**versions: int) -> Cluster:
+    cluster = Cluster()
+    for name, version in versions.items():
+        cluster.members[name] = (Claim(name, "ab", version), 5)
+    return cluster
+
+
+def test_the_version_is_raised_only_once_every_configured_controller_names_it() -> None:
+    names = ["a", "b", "c"]
+    assert not upgrade.due(_cluster(a=1, b=1), names)  # one is away: it may come back old
+    assert not upgrade.due(_cluster(a=1, b=1, c=0), names)
+    everybody = _cluster(a=1, b=1, c=1)
+    assert upgrade.due(everybody, names)
+    assert not upgrade.services_allowed(everybody)  # not before it is stored
+    everybody.version = (ClusterVersion(1), 9)
+    assert upgrade.services_allowed(everybody) and not upgrade.due(everybody, names)
+    everybody.members.clear()
+    assert upgrade.services_allowed(everybody)  # for good, whoever is away
+
+
+def test_services_are_refused_until_the_last_controller_is_new_and_taken_from_then_on() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.old = set(world.nodes)
+        await world.start()
+        await world.submit(world.job(2, Pieces=3, RunS=200.0, GuessS=200.0))
+        await world.until(lambda: len(world.on("req-000002")) == 3)
+        for name in world.nodes:
+            status, _ = await world.ask(name, "POST", "/api/jobs", world.service(1))
+            assert status == 503
+            await _upgrade(world, name)
+        assert await world.submit(world.service(1)) == 201
+        world.crash("node-0")  # one that is away changes nothing any more
+        assert await world.submit(world.service(3), "node-1") == 201
+        world.boot("node-0")
+        await world.until_served("req-000001", "req-000003")
+        assert world.rule_checker.starts_of("req-000002") == 3
+        world.verdict()
+
+    play(story)
+
+
+async def _upgrade(world: World, name: str, away: float = 2.0) -> None:
+    """Kill a controller, and start it in the new version."""
+    if name in world.running:
+        world.crash(name)
+    await asyncio.sleep(away)
+    world.old.discard(name)
+    world.boot(name)
+    await asyncio.sleep(4.0)
+
+
+async def _roll(world: World, away: float = 2.0) -> None:
+    for name in world.nodes:
+        await _upgrade(world, name, away)
+
+
+# Takeovers from one version by the other
+
+
+@pytest.mark.parametrize("old", [True, False], ids=["old-to-new", "new-to-old"])
+def test_a_takeover_across_versions_keeps_tasks_results_hires_and_cancellations(old: bool) -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        world.old = set(world.nodes) if old else set()
+        await world.start()
+        await world.submit(world.job(1, Pieces=4, RunS=40.0, GuessS=40.0))
+        await world.submit(world.job(2, Pieces=40, RunS=4.0))
+        await world.submit(world.job(3, Pieces=2, RunS=400.0, GuessS=400.0))
+        await world.until(lambda: len(world.rule_checker.results) > 10)
+        owner = world.owner()
+        assert owner is not None
+        world.cloud.mute = 1  # a hire under way, whose answer nobody hears
+        await world.submit(world.job(4, Pieces=30, RunS=10.0))
+        await asyncio.sleep(0.8)
+        others = [name for name in world.nodes if name != owner]
+        for name in others:  # the next owner is of the other version
+            world.crash(name)
+            if old:
+                world.old.discard(name)
+            else:
+                world.old.add(name)
+            world.boot(name)
+        await world.until(
+            lambda: all(n in world.parts and world.parts[n].member.acts for n in others)
+        )
+        assert await world.cancel("req-000003", owner) == "withdrawn"
+        world.crash(owner)
+        await world.until(lambda: world.owner() in others)
+        await world.until_done("req-000001", "req-000002", "req-000004")
+        assert world.rule_checker.starts_of("req-000001") == 4  # its tasks lived on
+        assert world.on("req-000003") == []
+        world.verdict()
+
+    play(story)
+
+
+def test_results_that_the_new_version_stored_in_chunks_outlive_an_old_owner_between() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, later={"value_kb": 0.5, "txn_ops": 4})
+        world.old = {"node-1"}
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        if world.owner() == "node-1":
+            world.crash("node-1")
+            await world.until(lambda: world.owner() not in (None, "node-1"))
+            world.boot("node-1")
+        tiny: dict[str, Any] = {"Cores": 0.05, "MemoryGb": 0.01, "RunS": 1.0}
+        await world.submit(world.job(1, Pieces=3000, **tiny))
+        await world.until(lambda: any("/1000." in key for key in world.state.keys))
+        await asyncio.sleep(4)
+        for name in ("node-0", "node-2"):
+            world.crash(name)
+        await world.until(lambda: world.owner() == "node-1")
+        await asyncio.sleep(5)
+        world.boot("node-0")
+        world.boot("node-2")
+        world.crash("node-1")
+        await world.until(lambda: world.owner() in ("node-0", "node-2"))
+        world.lower_limits()
+        await world.until_done("req-000001", seconds=200)
+        world.boot("node-1")
+        await asyncio.sleep(5)
+        assert not [key for key in world.state.keys if key.startswith("open/req-000001")]
+        world.verdict()
+
+    play(story)
+
+
+# An old controller that comes back after all
+
+
+def test_an_old_controller_that_is_back_can_not_keep_the_block_once_there_are_services() -> None:
+    """It can't read them, hands the block back, and a new one takes it."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        assert await world.submit(world.service(1)) == 201
+        await world.until_served("req-000001")
+        owner = world.owner()
+        assert owner is not None
+        back, other = (name for name in world.nodes if name != owner)
+        world.crash(back)
+        world.old.add(back)
+        world.boot(back)
+        world.crash(other)
+        await asyncio.sleep(3)
+        world.crash(owner)  # only the old one is left: it takes the block, and can't load it
+        await asyncio.sleep(2)
+        world.boot(other)
+        await world.until(lambda: world.owner() == other, seconds=20)
+        world.boot(owner)
+        await world.until_served("req-000001", seconds=FakeWorker.LEASE + 20)
+        for name in world.nodes:
+            assert await world.poll("req-000001", name) == "running"
+        assert await world.cancel("req-000001", back) == "withdrawn"
+        await asyncio.sleep(World.CANCEL)
+        assert world.on("req-000001") == []
+        world.verdict()
+
+    play(story)
+
+
+# Rolls in the middle of troubles
+
+
+async def _outage(world: World) -> None:
+    world.state.down = True
+    await asyncio.sleep(6.0)
+    world.state.outage_over()
+
+
+async def _refused_alone(world: World) -> None:
+    owner = world.owner()
+    if owner is not None:
+        world.state.refused.add(world.host(owner))
+        await asyncio.sleep(8.0)
+        world.state.refused.discard(world.host(owner))
+
+
+async def _late_writes(world: World) -> None:
+    world.state.late_writes = 0.3
+    await asyncio.sleep(15.0)
+    world.state.late_writes = 0.0
+
+
+async def _crashes(world: World) -> None:
+    """One that dies before its turn comes back in the version that it had."""
+    for _ in range(3):
+        name = world.chance.choice(world.nodes)
+        if name in world.running:
+            world.crash(name)
+            await asyncio.sleep(0.3)
+            if name not in world.running:
+                world.boot(name)
+        await asyncio.sleep(3.0)
+
+
+@pytest.mark.parametrize("trouble", [_outage, _refused_alone, _late_writes, _crashes])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_roll_in_the_middle_of_a_trouble_breaks_no_rule(trouble: Any, seed: int) -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, seed, later={"value_kb": 2.0, "txn_ops": 4})
+        chance = random.Random(seed)
+        world.old = set(world.nodes)
+        await world.start()
+        for number in range(1, 7):
+            shape = "group" if number % 3 == 0 else "batch"
+            await world.submit(
+                world.job(number, Shape=shape, Pieces=3, RunS=chance.choice([2.0, 15.0]))
+            )
+        await asyncio.sleep(chance.uniform(4, 8))
+        rolling = loop.create_task(_roll(world, chance.choice([0.3, 2.0])))
+        await asyncio.sleep(chance.uniform(0, 6))
+        troubling = loop.create_task(trouble(world))
+        await world.cancel("req-000002")
+        while not (rolling.done() and troubling.done()):
+            world.rule_checker.check()
+            await asyncio.sleep(0.2)
+        await rolling
+        await troubling
+        world.heal()
+        world.lower_limits()
+        await world.submit(world.service(9, Apart=True, Pieces=4))
+        await world.until_served("req-000009")
+        await world.until_done(*[f"req-{n:06d}" for n in (1, 3, 4, 5, 6)])
+        await world.cancel("req-000009")
+        await asyncio.sleep(5)
+        assert world.on("req-000009") == []
+        world.verdict()
+
+    play(story, seed)
