--- a/basaltlead/autoscaler.py
+++ b/basaltlead/autoscaler.py
@@ -18,7 +18,9 @@
 from basaltlead.wire.cloud import Hire, Rented
 from basaltlead.wire.state import Drop, Guard, Put
 
-MOST_HIRED_AT_ONCE = 12  # machines that one pass asks for
+# Machines that one pass asks for: a few, or a sixteenth of a large fleet, so that a fleet of
+# thousands grows as fast as the cloud hires out.
+FEW_HIRED, HIRED_SHARE = 12, 16
 MOST_HIRING = 6  # hires in progress
 SIZING_SHARE = 15  # sizing the fleet leaves that many times what it takes to everything else
 MOST_IN_HIRE = 50  # the cloud rents that many at once
@@ -148,7 +150,7 @@
             plan = fleet.size(
                 needs, self.spares(now), self.expected(now), self.owner.kinds,
                 {o: n for o, n in offers.items() if o.zone not in self.unreachable_zones},
-                run_us, MOST_HIRED_AT_ONCE,
+                run_us, max(FEW_HIRED, len(block.machines) // HIRED_SHARE),
             )  # fmt: skip
             grouped: dict[Offer, int] = {}
             for offer in plan.hires:
@@ -432,14 +434,19 @@
                 self.owner.dispatcher.workers.forget(block.machines[name].address)
                 block.drop_machine(name, now)
             self.owner.wake.set()
-            most = self.owner.limits.operations
-            for low in range(0, len(dropped), most):
-                await self._forget(dropped[low : low + most])
+            # Their records wait for their turn among the writes; other machines do not.
+            self.owner.spawn(self._forget(dropped), "forget machines")
 
     async def _forget(self, names: list[str]) -> None:
+        """Drop the records of machines that are gone."""
+        most = self.owner.limits.operations
+        for low in range(0, len(names), most):
+            await self._drop_records(names[low : low + most])
+
+    async def _drop_records(self, names: list[str]) -> None:
+        drops = [Drop(MACHINE + name) for name in names]
         for _ in range(5):
             try:
-                drops = [Drop(MACHINE + name) for name in names]
                 await self.owner.state.multi(self.owner.guards(), drops, can_wait=True)
                 return
             except (Failed, Unavailable):
--- a/basaltlead/core/block_state.py
+++ b/basaltlead/core/block_state.py
@@ -23,6 +23,9 @@
 KEEP_OFF_US = 30 * US  # for how long a job keeps off a machine on which it failed
 TRIALS_OF_ITS_OWN = 2  # after so many a job that only fails is itself at fault
 TRIALS_BEFORE_PAUSE = 3  # after so many a job that only fails waits between two tries
+# Names of machines that are gone, or hired, are kept for as long as lists and late reports may
+# show them. Three fleets of 6,000: some 2 MB.
+NAMES_KEPT = 18_000
 TOKEN_BITS = 24  # attempts an owner can start under one fencing token: 16 million
 
 
@@ -218,7 +221,7 @@
                 f"{age:.0f} s old, {up:.0f} s up, {machine.useful:.0f} s of use, "
                 f"{machine.wasted:.0f} s wasted, {machine.fetched:.0f} s of fetches"
             )
-        while len(self.gone) > 1000:
+        while len(self.gone) > NAMES_KEPT:
             del self.gone[next(iter(self.gone))]
         if machine is not None:
             self._empty(machine, now)
--- a/basaltlead/leasing.py
+++ b/basaltlead/leasing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from basaltlead.clients.state import TROUBLE, State
-from basaltlead.core.block_state import Limits
+from basaltlead.core.block_state import NAMES_KEPT, Limits
 from basaltlead.core.leadership import LEADER
 from basaltlead.core.model import STANDING_US, Job
 from basaltlead.events import wait_for_event
@@ -109,7 +109,7 @@
             hire = msgspec.json.decode(raw, type=StoredHire)
             for machine in hire.names or ():
                 self.hired[machine] = hire.block
-            while len(self.hired) > 2000:
+            while len(self.hired) > NAMES_KEPT:
                 del self.hired[next(iter(self.hired))]
 
     def _drop(self, prefix: str, key: str) -> None:
