--- a/basaltlead/core/block.py
+++ b/basaltlead/core/block.py
@@ -240,7 +240,13 @@
 
     def tick(self, now: int) -> None:
         """What changes by the mere passing of time."""
-        for machine in list(self.machines.values()):
+        # Ten times a second, over thousands of machines: most have nothing to be looked at.
+        silent_before = now - self.timing.lease_expiry_us
+        due = [
+            m for m in self.machines.values()
+            if m.answered_at < silent_before or m.recall_at is not None or m.draining
+        ]  # fmt: skip
+        for machine in due:
             since = max(machine.answered_at, self.took_at)
             if not machine.lost and now - since > self.timing.lease_expiry_us:
                 if machine.up or machine.name in self.unsynced:
--- a/basaltlead/net/netstring.py
+++ b/basaltlead/net/netstring.py
@@ -9,8 +9,6 @@
 class BadFrame(Exception):
     """Bytes that are no netstring."""
 
-    pass
-
 
 def frame(body: bytes) -> bytes:
     """A message as a netstring."""
--- /dev/null
+++ b/tests/test_thousands.py
@@ -0,0 +1,131 @@
+"""Four thousand machines: counts of operations, not seconds. What grows with the fleet is one pass
+over it, never machines times jobs or machines times tasks."""
+
+import pytest
+
+from basaltlead.core import fleet, planning, replicas
+from basaltlead.core.block import Block
+from basaltlead.core.block_state import NAMES_KEPT, BlockState, Limits
+from basaltlead.core.fleet import Demand, Offer
+from basaltlead.core.model import RANKS, US, Machine, Room, Shape
+from tests.test_block import KIND, TIMING, Story, a_job, listed
+from tests.test_scale import Counted
+
+MACHINES = 4000
+PLACES = 4  # tasks that one machine holds
+
+
+def _name(number: int) -> str:
+    return f"m-{number:06d}"
+
+
+def _full(jobs: int = 160, tasks: int = 100) -> Story:
+    """Every machine is full of running tasks of as many jobs as it takes."""
+    story = Story(machines=0, limits={"red": Limits()})
+    for number in range(MACHINES):
+        story.add(_name(number), zone="abc"[number % 3])
+        story.beat(_name(number))
+    for number in range(jobs):
+        story.block.add_job(a_job(number, tasks=tasks, memory_gb=0.1), 200, story.now)
+    planning.plan(story.block, story.now)
+    for number in range(MACHINES):
+        story.beat(_name(number))
+        story.beat(_name(number), *_running(story, number))
+    return story
+
+
+def _running(story: Story, number: int) -> list:  # type: ignore[type-arg]
+    machine = story.block.machines[_name(number)]
+    return [listed(attempt, "running") for attempt in machine.attempts.values()]
+
+
+def _plan_calls(monkeypatch: pytest.MonkeyPatch, story: Story) -> int:
+    count = Counted(monkeypatch, (Room, "fits"), (Room, "holds"), (planning.placement, "tier"))
+    planning.plan(story.block, story.now)
+    return count.calls
+
+
+def test_a_takeover_of_four_thousand_machines_costs_a_report_each(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    before = _full()
+    after = Story(machines=0, limits={"red": Limits()})
+    after.block = Block(8, 300, after.now, TIMING, {"red": Limits()})
+    for number in range(160):
+        after.block.add_job(a_job(number, tasks=100, memory_gb=0.1), 200, after.now)
+    for number in range(MACHINES):
+        after.add(_name(number), zone="abc"[number % 3], loaded=True)
+    assert _plan_calls(monkeypatch, after) < MACHINES  # nothing is known, nothing is looked at
+    taken = Counted(monkeypatch, (BlockState, "_stranger"), (BlockState, "_progress"))
+    for number in range(MACHINES):
+        shown = _running(before, number)
+        after.beat(_name(number), *shown, fencing_token=7)
+        after.beat(_name(number), *shown, fencing_token=8)
+    assert not after.block.unsynced
+    assert sum(len(work.live) for work in after.block.works.values()) == PLACES * MACHINES
+    assert taken.calls <= 2 * PLACES * MACHINES
+    assert _plan_calls(monkeypatch, after) < 4 * MACHINES
+
+
+def test_a_wave_of_spot_losses_costs_what_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    story = _full()
+    story.now += TIMING.lease_expiry_us // 2
+    for number in range(0, MACHINES, 2):
+        story.beat(_name(number), *_running(story, number))
+    story.now += TIMING.lease_expiry_us // 2 + US
+    removed = Counted(monkeypatch, (BlockState, "_remove"))
+    drained = Counted(monkeypatch, (Block, "_drain"))
+    story.block.tick(story.now)
+    assert removed.calls == PLACES * MACHINES // 2
+    for _ in range(10):
+        story.block.tick(story.now)
+    assert drained.calls <= 12 * MACHINES // 2
+    assert removed.calls == PLACES * MACHINES // 2
+    assert _plan_calls(monkeypatch, story) < 8 * MACHINES
+
+
+def test_a_thousand_jobs_are_cancelled_at_the_price_of_their_own_tasks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    story = _full(jobs=1600, tasks=10)
+    stopped = Counted(monkeypatch, (BlockState, "stop"), (BlockState, "_clear_failures"))
+    works = list(story.block.works.values())[:1000]
+    tasks = sum(len(work.live) for work in works)
+    for work in works:
+        story.block.close_job(work.job.ref, story.now)
+    assert stopped.calls == tasks + len(works)
+    assert _plan_calls(monkeypatch, story) < 20 * MACHINES
+
+
+def test_a_plan_for_hundreds_of_services_in_a_full_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Those that ask for the same are looked at once; those that find room cost a pass each."""
+    story = _full()
+    for number in range(1000, 1300):
+        story.block.add_job(
+            a_job(number, shape=Shape.SERVICE, tasks=3, memory_gb=0.1, guess_us=0),
+            200, story.now,
+        )  # fmt: skip
+    looked = Counted(monkeypatch, (replicas.ReplicaChoice, "_ranked"))
+    planning.plan(story.block, story.now)
+    assert looked.calls <= MACHINES + 300
+    high = story.block.add_job(
+        a_job(2000, shape=Shape.SERVICE, tasks=6, rank=RANKS["production"], guess_us=0),
+        200, story.now,
+    )  # fmt: skip
+    looked.calls = 0
+    planning.plan(story.block, story.now)
+    assert sum(a.grace is None for a in high.live.values()) == 6
+    assert looked.calls <= 2 * MACHINES + 300 + 12
+
+
+def test_a_fleet_grows_by_a_share_of_itself_and_its_names_are_remembered() -> None:
+    story = _full()
+    works = list(story.block.works.values())
+    needs = [Demand(work, work.remaining * 2) for work in works]
+    machines: list[Machine] = list(story.block.machines.values())
+    offers: dict[Offer, int | None] = {Offer("k", zone, False): None for zone in "abc"}
+    plan = fleet.size(needs, [], machines, {"k": KIND}, offers, {}, MACHINES // 16)
+    assert len(plan.hires) == MACHINES // 16
+    for number in range(MACHINES):
+        story.block.drop_machine(_name(number), story.now)
+    assert len(story.block.gone) == MACHINES < NAMES_KEPT
