--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -38,7 +38,7 @@
     dated: list[tuple[int, Work]] = []
     for work in works:
         due = due_of(work, now)
-        if work.job.gang or work.job.service or due == NO_DUE:
+        if work.job.gang or due == NO_DUE:
             out[work.job.ref] = work.remaining
         else:  # no hurry is worth its price to a job that is late
             each = guess_us(work)
