--- a/basaltlead/autoscaler.py
+++ b/basaltlead/autoscaler.py
@@ -10,6 +10,7 @@
 from basaltlead.core.fleet import Demand, Offer, OfferBook, WarmSpare
 from basaltlead.core.market import Market
 from basaltlead.core.model import US, Machine, Shape
+from basaltlead.core.silent_zones import SILENT_COUNT, SilentZones
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
 from basaltlead.owner import Owner, placeholder_kind
@@ -26,8 +27,6 @@
 MOST_IN_HIRE = 50  # the cloud rents that many at once
 HIRE_BYTES, NAME_BYTES = 256, 32  # what a hire's record takes, and each of its machines' names
 MOST_NAMES = 100  # the cloud deletes that many at once
-SILENT_ZONE_COUNT = 3  # machines that must be silent before their zone is in doubt
-SILENT_ZONE_US = 45 * US  # for how long nothing is hired there after the last of them was returned
 BLIND_LEASES = 4  # after so long of hearing nobody we believe that they are gone
 ANSWER_US = 4 * US  # for how long a worker waits for an answer; it tries others a second apart
 UNREACHABLE_US = 4 * US  # a machine that has not heard us for so long is no capacity
@@ -49,7 +48,7 @@
         self.sequence = 0
         self.pending: dict[str, list[Machine]] = {}  # hires without an answer so far
         self.silent_at = now_us()  # when nobody was heard
-        self.unreachable_zones: dict[str, int] = {}  # until when to avoid them
+        self.silent_zones = SilentZones()
 
     def start(self) -> None:
         for name, stored in list(self.owner.hires.items()):
@@ -124,6 +123,11 @@
         """Have our orders not reached it for a while, although its reports reach us?"""
         return bool(machine.unreachable_since) and now - machine.unreachable_since > UNREACHABLE_US
 
+    @staticmethod
+    def _may_come_up(machine: Machine, now: int) -> bool:
+        """Is it within the time that most machines take to come up?"""
+        return now - machine.made_at < machine.kind.boot_us * 3 // 2 + 10 * US
+
     @staticmethod
     def _overdue(machine: Machine, now: int) -> bool:
         """Should it have come up by now? One that stands recorded did, under an earlier owner,
@@ -143,13 +147,10 @@
             needs = self.needs(now)
             run_us = {n.work.job.ref: block.guess_us(n.work) for n in needs}
             room = MOST_HIRING - len(self.pending)
-            self._find_unreachable_zones(now)
-            offers = self.offer_book.offers(self.owner.kinds.values(), self._held(), now)
-            if self._blind(now):
-                offers = {}
+            self._look_for_silent_zones(now)
+            expected = self.expected(now)
             plan = fleet.size(
-                needs, self.spares(now), self.expected(now), self.owner.kinds,
-                {o: n for o, n in offers.items() if o.zone not in self.unreachable_zones},
+                needs, self.spares(now), expected, self.owner.kinds, self._offers(expected, now),
                 run_us, max(FEW_HIRED, len(block.machines) // HIRED_SHARE),
             )  # fmt: skip
             grouped: dict[Offer, int] = {}
@@ -169,29 +170,26 @@
         likely our own trouble than theirs, and we would not hear of new ones either."""
         lease = self.owner.block.timing.lease_us
         heard = [m.heard_at for m in self.owner.block.machines.values() if m.up and m.heard_at]
-        silent = len(heard) >= SILENT_ZONE_COUNT and not self._anybody_heard(now)
+        silent = len(heard) >= SILENT_COUNT and not self._anybody_heard(now)
         return silent and now - max(heard) < BLIND_LEASES * lease
 
-    def _find_unreachable_zones(self, now: int) -> None:
-        """Nothing is hired in a zone whose machines have all fallen silent while others are
-        heard: it is cut off, and what boots there can't reach us either."""
-        seen: dict[str, list[bool]] = {}
+    def _look_for_silent_zones(self, now: int) -> None:
+        heard: dict[str, list[bool]] = {}
         for machine in self.owner.block.machines.values():
             if machine.up and machine.heard_at:
-                heard = not machine.lost and self._heard(machine, now)
-                seen.setdefault(machine.zone, []).append(heard)
-        self.unreachable_zones = {
-            zone: until for zone, until in self.unreachable_zones.items() if now < until
-        }
-        if not any(map(any, seen.values())):
-            return
-        for zone, machines in seen.items():
-            if any(machines):
-                self.unreachable_zones.pop(zone, None)
-            elif len(machines) >= SILENT_ZONE_COUNT:
-                if zone not in self.unreachable_zones:
-                    log.info("nothing is heard from %s, no hires there", zone)
-                self.unreachable_zones[zone] = now + SILENT_ZONE_US
+                is_heard = not machine.lost and self._heard(machine, now)
+                heard.setdefault(machine.zone, []).append(is_heard)
+        for zone in self.silent_zones.look(heard, now):
+            log.info("nothing is heard from %s, no hires there", zone)
+
+    def _offers(self, expected: list[Machine], now: int) -> dict[Offer, int | None]:
+        """What may be asked of the cloud."""
+        if self._blind(now):
+            return {}
+        kinds = self.owner.kinds
+        offers = self.offer_book.offers(kinds.values(), self._held(), now)
+        tried = {m.zone for m in expected if not m.heard_at and self._may_come_up(m, now)}
+        return self.silent_zones.admitted(offers, kinds, tried, now)
 
     def _give_back(self, needed: set[str], now: int) -> None:
         share = self.settings.operator.idle_share
