--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -10,7 +10,6 @@
 PREFIX = "c/"
 LEADER = "c/leader"
 FENCING_TOKEN = "c/baton"
-VERSION = "c/version"
 
 
 def member_key(name: str) -> str:
@@ -36,12 +35,6 @@
     version: int = 0  # of the records that the member reads and writes (see upgrade)
 
 
-class ClusterVersion(Struct):
-    """The least version of any controller that may be at work."""
-
-    least: int
-
-
 class Grant(Struct, rename={"incarnation": "life", "fencing_token": "baton"}):
     """The value of a block's key. One that was handed back names nobody, and whom to avoid."""
 
@@ -73,7 +66,6 @@
         self.blocks: dict[int, tuple[Grant, int]] = {}
         self.fencing_token: tuple[Counter, int] | None = None
         self.loads: dict[int, Load] = {}
-        self.version: tuple[ClusterVersion, int] | None = None
 
     def lives(self, name: str, incarnation: str) -> bool:
         member = self.members.get(name)
--- a/basaltlead/upgrade.py
+++ b/basaltlead/upgrade.py
@@ -1,39 +1,34 @@
 """Which versions of this program may be at work side by side, and what depends on it.
 
 A controller names the version of its records in its member key. Controllers from before services
-name none, which reads as 0. The cluster's version stands under a key of its own, which the leader
-raises once the member keys of all configured controllers name at least that version: from then on
-no process is older, unless somebody goes back by hand. It is never lowered.
+name none, which reads as 0. Whatever a controller does for the others hangs on its session lease,
+and so on that key: one whose key is gone leads nothing and owns nothing, whatever it is.
 
-Until then nothing is stored that an older controller can't read. From then on a service may be
-accepted. Its record can't be read by one that would take it for an array: such a process, should
-it come back after all and get the block, fails to load it and hands it back, to one that can.
+So a service is accepted while no member key names an older version, in a transaction that is
+guarded on the member keys of all controllers. Its record can't be read by a version that would
+take it for an array. Should such a process join later and get the block, it fails to load it and
+hands it back, to one that can.
 
-Once no controller of version 0 is left anywhere, `services_allowed` and the cluster's version can
-go, and so can the chunk rows' empty field in `result_rows`.
+Once no controller of version 0 is left anywhere, `services_allowed` and `member_guards` can go,
+and so can the chunk rows' empty field in `result_rows`.
 """
 
 from collections.abc import Iterable
 
-from basaltlead.core.leadership import Cluster, ClusterVersion
+from basaltlead.core.leadership import Cluster, member_key
+from basaltlead.wire.state import Guard
 
 SERVICES = 1  # the version that knows services
 CURRENT = SERVICES
 
 
 def services_allowed(cluster: Cluster) -> bool:
-    """May services be accepted? A view that is behind says no."""
-    return cluster.version is not None and cluster.version[0].least >= SERVICES
+    """May services be accepted, as far as we know? Not beside a member that can't read them."""
+    versions = [claim.version for claim, _ in cluster.members.values()]
+    return bool(versions) and min(versions) >= SERVICES
 
 
-def due(cluster: Cluster, names: Iterable[str]) -> bool:
-    """Is it time to raise the cluster's version, given the names of all its controllers?"""
-    least = cluster.version[0].least if cluster.version is not None else 0
-    return least < CURRENT and all(
-        name in cluster.members and cluster.members[name][0].version >= CURRENT for name in names
-    )
-
-
-def raised() -> ClusterVersion:
-    """What is stored once all controllers are of the present version."""
-    return ClusterVersion(CURRENT)
+def member_guards(cluster: Cluster, names: Iterable[str]) -> list[Guard]:
+    """Conditions that the members are still those that were looked at: one of another version
+    that has joined meanwhile makes the transaction fail."""
+    return [Guard(member_key(name), cluster.member_version(name)) for name in names]
--- a/basaltlead/user_api.py
+++ b/basaltlead/user_api.py
@@ -132,6 +132,9 @@
             known = await self._look(sent.ref)
             return known if known is not None else refusal(503, "not all upgraded", MUCH_LATER)
         guards = [self.member.guard(), Guard(OPEN + sent.ref, 0), Guard(OVER + sent.ref, 0)]
+        if sent.shape == "service":
+            others = [name for name in self.member.names if name != self.member.name]
+            guards += upgrade.member_guards(self.member.cluster, others)
         try:
             stored = StoredJob.of(sent, wall_us())
             await self.state.multi(guards, [Put(OPEN + sent.ref, stored)])
