Large fleets hire no more than can be recorded, and rounds wait for no write

Budgets were stored inside the round, in the same line. Deployments below 208 machines hire as before.

--- a/basaltlead/autoscaler.py
+++ b/basaltlead/autoscaler.py
@@ -22,6 +22,9 @@
 # Machines that one pass asks for: a few, or a sixteenth of a large fleet, so that a fleet of
 # thousands grows as fast as the cloud hires out.
 FEW_HIRED, HIRED_SHARE = 12, 16
+# Beyond those few, no more than can be recorded while they boot, and for so long after: a machine
+# that is not recorded gets no task, and others' writes would wait behind its record.
+RECORD_S = 4.0
 MOST_HIRING = 6  # hires in progress
 SIZING_SHARE = 15  # sizing the fleet leaves that many times what it takes to everything else
 MOST_IN_HIRE = 50  # the cloud rents that many at once
@@ -151,7 +154,7 @@
             expected = self.expected(now)
             plan = fleet.size(
                 needs, self.spares(now), expected, self.owner.kinds, self._offers(expected, now),
-                run_us, max(FEW_HIRED, len(block.machines) // HIRED_SHARE),
+                run_us, self._most_hires(),
             )  # fmt: skip
             grouped: dict[Offer, int] = {}
             for offer in plan.hires:
@@ -165,6 +168,14 @@
             self._give_back(plan.needed, now)
             took = now_us() - now
 
+    def _most_hires(self) -> int:
+        """How many machines one pass may hire."""
+        machines = self.owner.block.machines
+        unrecorded = sum(not machine.recorded for machine in machines.values())
+        span_s = self._lead_us() / US + RECORD_S
+        recordable = int(span_s * self.owner.state.writes.rate) - unrecorded
+        return max(FEW_HIRED, min(len(machines) // HIRED_SHARE, recordable))
+
     def _blind(self, now: int) -> bool:
         """Have several machines fallen silent, and nobody is heard? For a while that is more
         likely our own trouble than theirs, and we would not hear of new ones either."""
--- a/basaltlead/clients/base.py
+++ b/basaltlead/clients/base.py
@@ -19,6 +19,7 @@
     """A rate with a burst of one second's worth (a leaky bucket in time units)."""
 
     def __init__(self, rate: float, burst: float | None = None) -> None:
+        self.rate = rate
         self.gap = 1.0 / rate
         self.depth = (burst if burst is not None else rate) * self.gap
         self.full_at = 0.0
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -92,6 +92,7 @@
         self.versions: dict[str, int] = {}  # of rows that we write more than once
         self.limits = settings.store_limits
         self.layout = ResultLayout(self.limits.value_bytes)
+        self.storing_budgets: asyncio.Task[None] | None = None
         self.orphans: list[str] = []  # rows of jobs that are over, found while loading
         self.shared = settings.operator.blocks > 1  # is the work leased in parts?
         self.early: dict[str, int] = {}  # answers given before the block was loaded
@@ -141,10 +142,12 @@
 
     # Life
 
-    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> "asyncio.Task[None]":
+        """Run something beside the loops; it ends with the owner."""
         task = asyncio.get_running_loop().create_task(work, name=name)
         self.tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def _ended(self, task: "asyncio.Task[None]") -> None:
         self.tasks.discard(task)
@@ -388,11 +391,16 @@
                     f"{TEAM}{team}/{self.number}": self.market.record(team, self.block.works)
                     for team in self.market.budgets
                 }
-                sizes = {key: len(encode(row)) for key, row in rows.items()}
-                for keys in self.limits.batches(sizes):
-                    await self.results.store(self.put({key: rows[key] for key in keys}))
+                if self.storing_budgets is None or self.storing_budgets.done():
+                    self.storing_budgets = self.spawn(self._store_budgets(rows), "store budgets")
             await asyncio.sleep(self.market.terms.round_us / US)
 
+    async def _store_budgets(self, rows: dict[str, TeamRecord]) -> None:
+        """Beside the rounds: behind the records of a fleet that grows it may take a while."""
+        sizes = {key: len(encode(row)) for key, row in rows.items()}
+        for keys in self.limits.batches(sizes):
+            await self.results.store(self.put({key: rows[key] for key in keys}))
+
     def _say_round(self) -> None:
         """One line a round: how full the fleet is, and what waits."""
         up = [m for m in self.block.machines.values() if m.synced]
--- a/tests/test_thousands.py
+++ b/tests/test_thousands.py
@@ -1,15 +1,21 @@
 """Four thousand machines: counts of operations, not seconds. What grows with the fleet is one pass
 over it, never machines times jobs or machines times tasks."""
 
+import asyncio
+from typing import Any
+
 import pytest
 
+from basaltlead.autoscaler import FEW_HIRED, HIRED_SHARE, RECORD_S
 from basaltlead.core import fleet, planning, replicas
 from basaltlead.core.block import Block
 from basaltlead.core.block_state import NAMES_KEPT, BlockState, Limits
 from basaltlead.core.fleet import Demand, Offer
 from basaltlead.core.model import RANKS, US, Machine, Room, Shape
+from tests.fakes import World
 from tests.test_block import KIND, TIMING, Story, a_job, listed
 from tests.test_scale import Counted
+from tests.world import Loop, play
 
 MACHINES = 4000
 PLACES = 4  # tasks that one machine holds
@@ -118,6 +124,66 @@
     assert looked.calls <= 2 * MACHINES + 300 + 12
 
 
+def test_rounds_wait_for_no_write_of_a_fleet_that_grows() -> None:
+    """They were 72 s apart, behind the records of 2,700 machines that came up in a minute."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop, later={"write_rps": 8.0})
+        world.cloud.capacity = 400
+        await world.start()
+        for number in range(1, 5):
+            await world.submit(world.job(number, Pieces=400, Cores=4.0, RunS=60.0, GuessS=60.0))
+        await asyncio.sleep(25)
+        owner = _owner(world)
+        machines = owner.block.machines.values()
+        assert sum(machine.up and not machine.recorded for machine in machines) > 100
+        rounds: list[float] = []
+        inner = owner.market.round
+
+        def counted(*args: Any) -> None:
+            rounds.append(loop.time())
+            inner(*args)
+
+        owner.market.round = counted
+        await asyncio.sleep(60)
+        assert len(rounds) >= 5
+        world.verdict()
+
+    play(story)
+
+
+def test_a_large_fleet_hires_no_more_than_it_can_record() -> None:
+    """The state service takes one record a machine: what has none yet gets no task."""
+
+    async def story(loop: Loop) -> None:
+        world = World(loop)
+        await world.start()
+        await world.until(lambda: world.owner() is not None)
+        await asyncio.sleep(1)
+        owner = _owner(world)
+        autoscaler = owner.on_loaded.__self__
+        for number in range(MACHINES):
+            machine = Machine(_name(number), KIND, "a", False, 0)
+            machine.recorded = True
+            owner.block.add_machine(machine)
+        recordable = int((5.0 + RECORD_S) * owner.state.writes.rate)  # types boot in 5 s
+        assert autoscaler._most_hires() == MACHINES // HIRED_SHARE < recordable
+        for number in range(recordable - 100):
+            owner.block.machines[_name(number)].recorded = False
+        assert autoscaler._most_hires() == 100
+        for number in range(recordable):
+            owner.block.machines[_name(number)].recorded = False
+        assert autoscaler._most_hires() == FEW_HIRED
+
+    play(story)
+
+
+def _owner(world: World) -> Any:
+    name = world.owner()
+    assert name is not None
+    return world.parts[name].owners[0]
+
+
 def test_a_fleet_grows_by_a_share_of_itself_and_its_names_are_remembered() -> None:
     story = _full()
     works = list(story.block.works.values())
