Duties: renting, returning, reclaiming and clean-up by one fenced holder each

Need: two controllers that both believe that they may rent, return or clean up work against each other on one machine, and the cloud checks no token.

Change: the leader grants duties by the same mechanism as blocks, with the same counter of fencing tokens, once every member knows them (upgrade.py). Owners record requests and returns under their block's grant; the duty's holder carries them out and records how they ended, under its own.

One test calls a private method by the block's key now, since grants are kept by key.

--- a/basaltlead/clients/cloud.py
+++ b/basaltlead/clients/cloud.py
@@ -8,17 +8,26 @@
 from basaltlead.wire.cloud import Hire, MachineType, Names, Page, Rented, Types
 
 TIMEOUT_US = 4_000_000
+REFUSALS = (400, 403, 404, 409, 413, 422)
 
 
 class NoCapacity(Exception):
     """None to be had of this type, zone and kind."""
 
 
+class Refused(Failed):
+    """The cloud says that the request is wrong: the same one will be refused again."""
+
+
 class Cloud:
     """Calls to the cloud, inside this node's part of its rate."""
 
     def __init__(self, address: str, rps: float) -> None:
         self.pool = Pool(address, limit=6)
+        self.use_rate(rps)
+
+    def use_rate(self, rps: float) -> None:
+        """From now on take this part of the cloud's rate."""
         self.budget = Budget(max(0.2, rps * 0.85), burst=max(1.0, rps * 1.5))
 
     async def _call(
@@ -30,6 +39,8 @@
             raise NoCapacity
         if status in (429, 503):
             raise Unavailable(f"cloud: {status}")
+        if status in REFUSALS:
+            raise Refused(f"cloud: {status} {answer[:200]!r}", sent=True)
         if status != 200:
             raise Failed(f"cloud: {status} {answer[:200]!r}", sent=True)
         return answer
--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -1,11 +1,14 @@
-"""Who leads and who owns which block, read off the records in the state service.
+"""Who leads, who owns which block and who holds which duty, read off the records in the state
+service.
 
 A lease belongs to one incarnation of one member. It has provably ended once the member's key is
 gone (its session lease ran out) or names another incarnation (the process restarted). Every claim
 is guarded on the very keys that prove this, so a claim from an old view fails.
 """
 
-from msgspec import Struct
+from collections.abc import Iterable
+
+from msgspec import UNSET, Struct, UnsetType
 
 PREFIX = "c/"
 LEADER = "c/leader"
@@ -22,9 +25,28 @@
     return f"c/load/{block}"
 
 
+BLOCK_PREFIX = "c/block/"
+DUTY_PREFIX = "c/duty/"
+
+
 def block_key(block: int) -> str:
     """The key that says who owns a block."""
-    return f"c/block/{block}"
+    return f"{BLOCK_PREFIX}{block}"
+
+
+def duty_key(duty: str) -> str:
+    """The key that says who holds a duty (see duties)."""
+    return f"{DUTY_PREFIX}{duty}"
+
+
+def is_grant_key(key: str) -> bool:
+    """Is it the key of something that the leader grants?"""
+    return key.startswith((BLOCK_PREFIX, DUTY_PREFIX))
+
+
+def _kind_of(key: str) -> str:
+    """Blocks and duties are spread over the members each for themselves."""
+    return key.rpartition("/")[0]
 
 
 class Claim(Struct, rename={"incarnation": "life"}):  # as it is stored
@@ -35,13 +57,15 @@
     version: int = 0  # of the records that the member reads and writes (see upgrade)
 
 
-class Grant(Struct, rename={"incarnation": "life", "fencing_token": "baton"}):
-    """The value of a block's key. One that was handed back names nobody, and whom to avoid."""
+class Grant(Struct, rename={"incarnation": "life", "fencing_token": "baton", "granted_at": "at"}):
+    """The value of the key of a block or a duty. One that was handed back names nobody, and whom
+    to avoid."""
 
     name: str
     incarnation: str
     fencing_token: int
     avoid: str = ""
+    granted_at: int | UnsetType = UNSET  # time of day, of duties
 
 
 class Load(Struct):
@@ -63,7 +87,7 @@
     def __init__(self) -> None:
         self.members: dict[str, tuple[Claim, int]] = {}
         self.leader: tuple[Claim, int] | None = None
-        self.blocks: dict[int, tuple[Grant, int]] = {}
+        self.grants: dict[str, tuple[Grant, int]] = {}  # by the keys of blocks and duties
         self.fencing_token: tuple[Counter, int] | None = None
         self.loads: dict[int, Load] = {}
 
@@ -81,30 +105,51 @@
             self.leader[0].name, self.leader[0].incarnation
         )
 
-    def taker(self, block: int, me: str) -> str | None:
-        """Whom to lease a block to: the living member with fewest blocks, the leader itself
-        among equals, and not whoever has just handed it back if there is anybody else."""
+    def holder(self, key: str) -> str | None:
+        """The living member that a block or duty is granted to."""
+        held = self.grants.get(key)
+        if held is None or not self.lives(held[0].name, held[0].incarnation):
+            return None
+        return held[0].name
+
+    def taker(self, key: str, me: str) -> str | None:
+        """Whom to grant a block or duty to: the living member with fewest of its kind, then with
+        fewest grants at all, the leader itself among equals, and not whoever has just handed it
+        back if there is anybody else."""
+        alike = dict.fromkeys(self.members, 0)
         count = dict.fromkeys(self.members, 0)
-        for held, _ in self.blocks.values():
-            if self.lives(held.name, held.incarnation):
-                count[held.name] += 1
-        held_back = self.blocks.get(block)
-        avoid = held_back[0].avoid if held_back is not None else ""
+        for other in self.grants:
+            name = self.holder(other)
+            if name is not None:
+                count[name] += 1
+                alike[name] += _kind_of(other) == _kind_of(key)
+        held = self.grants.get(key)
+        avoid = held[0].avoid if held is not None else ""
         return min(
-            count, key=lambda name: (name == avoid, count[name], name != me, name), default=None
+            count,
+            key=lambda name: (name == avoid, alike[name], count[name], name != me, name),
+            default=None,
         )
 
-    def overloaded(self, me: str) -> int | None:
-        """A block of ours that a member without any should have."""
-        mine = [b for b, (held, _) in self.blocks.items() if held.name == me]
-        owners = {held.name for held, _ in self.blocks.values()}
-        idle = [name for name in self.members if name not in owners]
-        return max(mine) if len(mine) > 1 and idle else None
+    def surplus(self, me: str) -> str | None:
+        """The key of a grant of ours that a member without any of its kind should have."""
+        mine: dict[str, list[str]] = {}
+        holders: dict[str, set[str]] = {}
+        for key in self.grants:
+            name = self.holder(key)
+            if name is not None:
+                holders.setdefault(_kind_of(key), set()).add(name)
+            if name == me:
+                mine.setdefault(_kind_of(key), []).append(key)
+        for kind, keys in mine.items():
+            if len(keys) > 1 and self.members.keys() - holders[kind]:
+                return max(keys)
+        return None
 
     @property
     def predecessor(self) -> str:
         """Who owned the first block last, whether it was lost or handed back."""
-        held = self.blocks.get(0)
+        held = self.grants.get(block_key(0))
         if held is None:
             return ""
         return held[0].name or held[0].avoid
@@ -124,14 +169,9 @@
         last = list_order(self.predecessor)
         return sorted(names, key=lambda name: (list_order(name) <= last, list_order(name)))
 
-    def orphans(self, count: int) -> list[int]:
-        """Blocks without a living owner."""
-        out = []
-        for block in range(count):
-            held = self.blocks.get(block)
-            if held is None or not self.lives(held[0].name, held[0].incarnation):
-                out.append(block)
-        return out
+    def orphans(self, keys: Iterable[str]) -> list[str]:
+        """Those of the blocks and duties that have no living holder."""
+        return [key for key in keys if self.holder(key) is None]
 
 
 def list_order(name: str) -> tuple[int, str]:
--- a/basaltlead/dispatcher.py
+++ b/basaltlead/dispatcher.py
@@ -121,7 +121,8 @@
             # writes it down.
             guards = [*self.owner.guards(), Guard(MACHINE + machine.name, 0)]
             puts = [Put(MACHINE + machine.name, stored)]
-            await self.owner.state.multi(guards, puts, can_wait=True)
+            version = await self.owner.state.multi(guards, puts, can_wait=True)
+            self.owner.versions[MACHINE + machine.name] = version
         except Conflict as conflict:
             if MACHINE + machine.name not in conflict.failed or not await self._is_ours(machine):
                 return
@@ -146,6 +147,7 @@
         if row is None:
             return False
         if msgspec.json.decode(row.value, type=StoredMachine).block == self.owner.number:
+            self.owner.versions[row.key] = row.version
             return True
         log.info("machine %s belongs to another block", machine.name)
         self.owner.block.machines.pop(machine.name, None)
--- /dev/null
+++ b/basaltlead/duties/coordinator.py
@@ -0,0 +1,77 @@
+"""The duties that this controller holds at the moment: taken up and let go with their grants."""
+
+from basaltlead.clients.cloud import Cloud
+from basaltlead.clients.state import State
+from basaltlead.duties.clean_up_duty import CleanUpDuty
+from basaltlead.duties.holder import DutyHolder
+from basaltlead.duties.model import CLOUD_SHARES, LEAST_CLOUD_SHARE, Duty
+from basaltlead.duties.reclaim_duty import ReclaimDuty
+from basaltlead.duties.rent_duty import RentDuty
+from basaltlead.duties.return_duty import ReturnDuty
+from basaltlead.logs import log
+from basaltlead.membership import Membership
+from basaltlead.settings import Settings
+
+HOLDERS: dict[Duty, type[DutyHolder]] = {
+    holder.duty: holder for holder in (RentDuty, ReturnDuty, ReclaimDuty, CleanUpDuty)
+}
+
+
+class HeldDuties:
+    """Keeps one holder for each duty that is granted to this very incarnation."""
+
+    def __init__(
+        self, settings: Settings, member: Membership, state: State, cloud: Cloud, callers: int
+    ) -> None:
+        self.settings = settings
+        self.member = member
+        self.state = state
+        self.cloud = cloud
+        self.callers = callers  # controllers that call the cloud while duties are not granted
+        self.cloud_rate = 0.0
+        self.holders: dict[Duty, DutyHolder] = {}
+
+    def changed(self) -> None:
+        """The cluster has changed."""
+        if not self.member.duty_keys:
+            return
+        for duty in Duty:
+            held = self.member.owned(duty.key) if self.member.version else None
+            holder = self.holders.get(duty)
+            if holder is not None and (held is None or held[1] != holder.version):
+                log.info("duty %s let go", duty)
+                self.holders.pop(duty).stop()
+                holder = None
+            if holder is None and held is not None:
+                self.holders[duty] = HOLDERS[duty](
+                    self.settings, self.member, self.state, self.cloud, *held
+                )
+                self.holders[duty].start()
+        self._share_cloud()
+
+    def _share_cloud(self) -> None:
+        """The cloud counts all controllers' calls together: each duty has its part of them."""
+        share = 1 / self.callers
+        if self.member.duties_granted:
+            share = LEAST_CLOUD_SHARE + sum(CLOUD_SHARES.get(duty, 0.0) for duty in self.holders)
+        rate = self.settings.facts.cloud.rps * share
+        if rate != self.cloud_rate:
+            self.cloud_rate = rate
+            self.cloud.use_rate(rate)
+
+    async def hand_back(self) -> None:
+        """Give up duties of ours whose work has failed, for others to take."""
+        for duty, holder in list(self.holders.items()):
+            if holder.resigned and await self.member.step_down(duty.key, leader_too=False):
+                holder.stop()
+                self.holders.pop(duty, None)
+                self._share_cloud()
+
+    async def give_away(self, key: str) -> bool:
+        """Hand back a duty that a member without any should have. False: it is none of ours."""
+        for duty, holder in self.holders.items():
+            if duty.key == key and holder.acts:
+                holder.resign()
+                await self.hand_back()
+                return True
+        return False
--- /dev/null
+++ b/basaltlead/duties/holder.py
@@ -0,0 +1,76 @@
+"""The holder of one duty: it lives from the grant of the duty until that is lost."""
+
+from basaltlead.background import BackgroundTasks
+from basaltlead.clients.base import Backoff
+from basaltlead.clients.cloud import Cloud
+from basaltlead.clients.state import TROUBLE, State
+from basaltlead.core.leadership import Grant
+from basaltlead.duties.history import History, event
+from basaltlead.duties.model import Duty
+from basaltlead.logs import log
+from basaltlead.membership import Membership
+from basaltlead.settings import Settings
+from basaltlead.wire.state import Guard
+
+
+class DutyHolder:
+    """What all duties have in common. A new grant means a new holder."""
+
+    duty: Duty
+
+    def __init__(
+        self, settings: Settings, member: Membership, state: State, cloud: Cloud,
+        grant: Grant, version: int,
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.member = member
+        self.state = state
+        self.cloud = cloud
+        self.grant = grant
+        self.version = version
+        self.resigned = False  # we have stopped acting, for good
+        self.background = BackgroundTasks(self.resign)
+        self.history = History(state, self, self.duty, member.name, grant.fencing_token)
+
+    @property
+    def acts(self) -> bool:
+        """The session lease and the grant are provably valid, and every member knows duties."""
+        return (
+            self.member.acts
+            and not self.resigned
+            and self.member.incarnation == self.grant.incarnation
+            and self.member.duties_granted
+        )
+
+    def guards(self) -> list[Guard]:
+        """What every write of the holder is guarded on."""
+        return [self.member.guard(), Guard(self.duty.key, self.version)]
+
+    def resign(self) -> None:
+        """Stop acting: the duty is handed back for another controller to take."""
+        self.resigned = True
+        self.member.wake.set()
+
+    def start(self) -> None:
+        self.background.spawn(self._begin(), f"loop {self.duty}")
+
+    def stop(self) -> None:
+        self.resigned = True
+        self.background.cancel()
+
+    async def _begin(self) -> None:
+        backoff = Backoff(100_000, 1_000_000, self.member.chance)
+        while True:
+            try:
+                await self.history.load()
+                await self.history.commit([], [], event("taken up"))
+                break
+            except TROUBLE as fault:
+                log.info("taking up duty %s: %s", self.duty, fault)
+                await backoff.rest()
+        log.info("duty %s taken up with fencing token %d", self.duty, self.grant.fencing_token)
+        await self.run()
+
+    async def run(self) -> None:
+        """The duty itself."""
+        raise NotImplementedError
--- /dev/null
+++ b/basaltlead/duties/rent_duty.py
@@ -0,0 +1,113 @@
+"""The duty of renting: requests that the blocks' owners have recorded are sent and settled."""
+
+import asyncio
+from functools import partial
+
+import msgspec
+
+from basaltlead.clients.state import TROUBLE
+from basaltlead.duties.history import event
+from basaltlead.duties.holder import DutyHolder
+from basaltlead.duties.model import Duty
+from basaltlead.duties.renting import Renting
+from basaltlead.logs import log
+from basaltlead.records import HIRE, StoredHire
+from basaltlead.watching import follow
+from basaltlead.wire.state import Change, Guard, Put, Row
+
+MOST_REQUESTS = 6  # that are under way at once
+
+
+class RentDuty(DutyHolder):
+    """Follows the recorded requests, and carries out each that is open."""
+
+    duty = Duty.RENT
+
+    async def run(self) -> None:
+        self.renting = Renting(self.state, self.cloud, self, self.member.chance)
+        self.versions: dict[str, int] = {}  # of the records of open requests
+        self.open: dict[str, asyncio.Task[None]] = {}
+        self.settling: set[str] = set()
+        self.turns = asyncio.Semaphore(MOST_REQUESTS)
+        await follow(self.state, HIRE, self.member.watch_ms, self._load, self._change)
+
+    def _load(self, rows: list[Row]) -> None:
+        for name in self.open.keys() - {row.key[len(HIRE) :] for row in rows}:
+            self._close(name)
+        for row in rows:
+            self._take(row.key[len(HIRE) :], row.value, row.version)
+
+    def _change(self, change: Change) -> None:
+        if change.put is not None:
+            self._take(change.put[len(HIRE) :], change.value, change.version)
+        elif change.drop is not None:
+            self._close(change.drop[len(HIRE) :])
+
+    def _take(self, name: str, raw: msgspec.Raw, version: int) -> None:
+        stored = msgspec.json.decode(raw, type=StoredHire)
+        if stored.names is not None:
+            self._close(name)
+            return
+        self.versions[name] = version
+        if name not in self.open:
+            work = self._carry_out(name, stored)
+            self.open[name] = self.background.spawn(work, f"hire {name}")
+
+    def _close(self, name: str) -> None:
+        """Settled, by us or by somebody else."""
+        self.versions.pop(name, None)
+        task = self.open.pop(name, None)
+        if task is not None and name not in self.settling:
+            task.cancel()
+
+    async def _carry_out(self, name: str, stored: StoredHire) -> None:
+        released = False
+
+        async def refused(reason: str) -> None:
+            # One that the cloud refuses for good holds up no other.
+            nonlocal released
+            if not released:
+                released = True
+                self.turns.release()
+            await self._note_refusal(name, stored, reason)
+
+        await self.turns.acquire()
+        try:
+            names = await self.renting.ask(name, stored, refused)
+            await self._settle(name, stored, names)
+        except TROUBLE as fault:
+            log.info("hire %s not settled: %s", name, fault)
+            # Its record stands as it was: it is taken up again with the next grant, or here.
+            await asyncio.sleep(1.0)
+            if self.open.pop(name, None) is not None and name in self.versions:
+                work = self._carry_out(name, stored)
+                self.open[name] = self.background.spawn(work, f"hire {name}")
+        finally:
+            if not released:
+                self.turns.release()
+
+    async def _settle(self, name: str, stored: StoredHire, names: list[str] | None) -> None:
+        if names is None:
+            done, told = None, event("no capacity", name, stored.at)
+        else:
+            done = msgspec.structs.replace(stored, names=names, refused=msgspec.UNSET)
+            told = event("rented", name, stored.at, names)
+        commit = partial(self.history.commit, event=told)
+        self.settling.add(name)
+        try:
+            await self.renting.settle(name, done, self.versions.get(name, 0), commit)
+        finally:
+            self.settling.discard(name)
+
+    async def _note_refusal(self, name: str, stored: StoredHire, reason: str) -> None:
+        """Show it to operators and to the owner, which asks for something else."""
+        if stored.refused is not msgspec.UNSET:
+            return
+        stored.refused = reason[:200]
+        guards = [Guard(HIRE + name, self.versions.get(name, 0))]
+        changes = [Put(HIRE + name, stored)]
+        try:
+            await self.history.commit(guards, changes, event("refused", name, stored.at))
+        except TROUBLE as fault:
+            stored.refused = msgspec.UNSET
+            log.info("refusal of %s not recorded: %s", name, fault)
--- /dev/null
+++ b/basaltlead/duties/return_duty.py
@@ -0,0 +1,133 @@
+"""The duty of returning: machines that are recorded as to be returned are deleted in the cloud."""
+
+import asyncio
+
+import msgspec
+from msgspec import Struct
+
+from basaltlead.clients.base import Backoff
+from basaltlead.clients.state import TROUBLE
+from basaltlead.clock import now_us
+from basaltlead.duties.history import event
+from basaltlead.duties.holder import DutyHolder
+from basaltlead.duties.model import Duty
+from basaltlead.duties.returning import CLOUD_TROUBLE, MOST_NAMES, Returning
+from basaltlead.events import wait_for_event
+from basaltlead.logs import log
+from basaltlead.records import MACHINE, RETURN, StoredReturn
+from basaltlead.watching import follow
+from basaltlead.wire.state import Change, Drop, Guard, Put, Row
+
+PAUSE_S = 0.5  # between two looks, should nothing have changed
+
+
+class OpenReturn(Struct):
+    """A recorded return, and the machines of it that are still to be deleted."""
+
+    stored: StoredReturn
+    version: int
+    left: list[str]
+
+
+class ReturnDuty(DutyHolder):
+    """Follows the recorded returns, and carries out each that is open. No other machine is ever
+    named to the cloud."""
+
+    duty = Duty.RETURN
+
+    async def run(self) -> None:
+        self.returning = Returning(self.cloud, self)
+        self.open: dict[str, OpenReturn] = {}
+        self.wake = asyncio.Event()
+        self.background.spawn(self._work(), "loop return")
+        await follow(self.state, RETURN, self.member.watch_ms, self._load, self._change)
+
+    def _load(self, rows: list[Row]) -> None:
+        for key in self.open.keys() - {row.key for row in rows}:
+            del self.open[key]
+        for row in rows:
+            self._take(row.key, row.value, row.version)
+
+    def _change(self, change: Change) -> None:
+        if change.put is not None:
+            self._take(change.put, change.value, change.version)
+        elif change.drop is not None:
+            self.open.pop(change.drop, None)
+
+    def _take(self, key: str, raw: msgspec.Raw, version: int) -> None:
+        known = self.open.get(key)
+        if known is not None:
+            known.version = max(known.version, version)
+            return
+        stored = msgspec.json.decode(raw, type=StoredReturn)
+        self.open[key] = OpenReturn(stored, version, list(stored.names))
+        self.wake.set()
+
+    async def _work(self) -> None:
+        backoff = Backoff(500_000, 4_000_000, self.member.chance)
+        while True:
+            await wait_for_event(self.wake, PAUSE_S)
+            if not self.acts:
+                continue
+            try:
+                await self._delete_some()
+                backoff.reset()
+            except CLOUD_TROUBLE as fault:
+                log.info("deleting machines: %s", fault)
+                await backoff.rest()
+                continue
+            for key in [key for key, one in self.open.items() if not one.left]:
+                await self._settle(key)
+            await self._note_refusals()
+
+    async def _delete_some(self) -> None:
+        """Send as many machines as one call takes, of several returns together."""
+        now = now_us()
+        left = [name for one in self.open.values() for name in one.left]
+        names = list(dict.fromkeys(self.returning.due(left, now)))[:MOST_NAMES]
+        if not names:
+            return
+        gone = set(await self.returning.delete(names, now))
+        for one in self.open.values():
+            one.left = [name for name in one.left if name not in gone]
+        if len(left) > len(names):
+            self.wake.set()
+
+    async def _settle(self, key: str) -> None:
+        """Drop the records of the machines, then that of their return: whoever finds the return
+        standing deletes the machines once more, which does nothing, and goes on from there."""
+        one = self.open.get(key)
+        if one is None:
+            return
+        guard = Guard(key, one.version)
+        records = [MACHINE + name for name in one.stored.names]
+        most = self.state.limits.operations - 2  # the return itself and the page of history
+        told = event("returned", key[len(RETURN) :], one.stored.at, one.stored.names)
+        try:
+            while len(records) > most:
+                some, records = records[:most], records[most:]
+                drops = list(map(Drop, some))
+                await self.state.multi([*self.guards(), guard], drops, can_wait=True)
+            await self.history.commit([guard], [*map(Drop, records), Drop(key)], told, True)
+        except TROUBLE as fault:
+            log.info("return %s not settled: %s", key, fault)
+            await asyncio.sleep(0.2)
+            return
+        self.open.pop(key, None)
+
+    async def _note_refusals(self) -> None:
+        """Show to operators what the cloud refuses to delete."""
+        for key, one in list(self.open.items()):
+            reasons = [
+                self.returning.refused[n][1] for n in one.left if n in self.returning.refused
+            ]
+            if not reasons or one.stored.refused:
+                continue
+            noted = msgspec.structs.replace(one.stored, refused=reasons[0][:200])
+            told = event("refused", key[len(RETURN) :], one.stored.at, one.left)
+            try:
+                await self.history.commit([Guard(key, one.version)], [Put(key, noted)], told, True)
+            except TROUBLE as fault:
+                log.info("refusal of %s not recorded: %s", key, fault)
+                continue
+            one.stored = noted
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -1,14 +1,14 @@
 """This process among the others: its session lease, who leads, who owns what."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
 from basaltlead import upgrade
 from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.state import TROUBLE, Conflict, SessionLeaseExpired, State
-from basaltlead.clock import chance, now_us
+from basaltlead.clock import chance, now_us, wall_us
 from basaltlead.core import leadership
 from basaltlead.core.leadership import (
     FENCING_TOKEN,
@@ -20,6 +20,7 @@
     Grant,
     Load,
     block_key,
+    is_grant_key,
     member_key,
 )  # fmt: skip
 from basaltlead.events import wait_for_event
@@ -42,17 +43,19 @@
     """
 
     def __init__(
-        self, name: str, peers: Iterable[str], state: State, session_lease_us: int, blocks: int
-    ) -> None:
+        self, name: str, peers: Iterable[str], state: State, session_lease_us: int, blocks: int,
+        duties: Sequence[str] = (),
+    ) -> None:  # fmt: skip
         self.name = name
         self.names = sorted({name, *peers})  # of all configured controllers
-        self.record_version = upgrade.CURRENT
+        self.record_version = upgrade.record_version(bool(duties))
         self.state = state
         self.ttl_us = session_lease_us
         # An owner acts no longer than a session lease after its last read of the open jobs was
         # sent, so a watch must come back well within that.
         self.watch_ms = min(4000, session_lease_us // 4000)
-        self.block_count = blocks
+        self.block_keys = [block_key(number) for number in range(blocks)]
+        self.duty_keys = list(duties)  # keys of the duties that are granted beside the blocks
         self.incarnation = ""
         self.session_lease = 0
         self.version = 0
@@ -123,9 +126,9 @@
         """What every write of this process is guarded on."""
         return Guard(member_key(self.name), self.version)
 
-    def owned(self, block: int) -> tuple[Grant, int] | None:
-        """The grant of a block to this very incarnation."""
-        held = self.cluster.blocks.get(block)
+    def owned(self, key: str) -> tuple[Grant, int] | None:
+        """The grant of a block or duty to this very incarnation."""
+        held = self.cluster.grants.get(key)
         if (
             held is None
             or held[0].name != self.name
@@ -137,10 +140,12 @@
 
     def owner(self, block: int) -> str | None:
         """The living owner of a block, as far as known."""
-        held = self.cluster.blocks.get(block)
-        if held is None or not self.cluster.lives(held[0].name, held[0].incarnation):
-            return None
-        return held[0].name
+        return self.cluster.holder(block_key(block))
+
+    @property
+    def duties_granted(self) -> bool:
+        """Are the duties granted on their own, rather than carried out by the blocks' owners?"""
+        return bool(self.duty_keys) and upgrade.duties_allowed(self.cluster)
 
     @property
     def leads(self) -> bool:
@@ -247,17 +252,16 @@
             elif key.startswith("c/load/"):
                 load = msgspec.json.decode(raw, type=Load)
                 self.cluster.loads[int(key.removeprefix("c/load/"))] = load
-            elif key.startswith("c/block/"):
-                grant = msgspec.json.decode(raw, type=Grant)
-                self._note_block(int(key.removeprefix("c/block/")), grant, version)
+            elif is_grant_key(key):
+                self._note_grant(key, msgspec.json.decode(raw, type=Grant), version)
         except (msgspec.DecodeError, ValueError) as fault:
             log.error("record %s can't be read: %s", key, fault)
 
-    def _note_block(self, block: int, grant: Grant, version: int) -> None:
+    def _note_grant(self, key: str, grant: Grant, version: int) -> None:
         """The answer to our own write and the watch tell the same in any order."""
-        known = self.cluster.blocks.get(block)
+        known = self.cluster.grants.get(key)
         if known is None or known[1] <= version:
-            self.cluster.blocks[block] = (grant, version)
+            self.cluster.grants[key] = (grant, version)
 
     def _drop(self, key: str, version: int) -> None:
         if key == LEADER:
@@ -268,7 +272,7 @@
                 del self.cluster.members[key.removeprefix("c/member/")]
 
     async def lead(self) -> None:
-        """Claim the leader's key when nobody living has it; as leader, lease out the blocks."""
+        """Claim the leader's key when nobody living has it; as leader, grant what nobody has."""
         pause_s = LEAD_PAUSE_S
         while True:
             await wait_for_event(self.wake, pause_s)
@@ -281,7 +285,7 @@
                 if not self.cluster.leader_lives:
                     pause_s = await self._claim_in_turn()
                 elif self.leads:
-                    await self._lease_out()
+                    await self._grant_orphans()
             except Conflict as conflict:
                 log.debug("claim lost on %s", conflict)
                 await asyncio.sleep(self.chance.uniform(0.02, 0.1))
@@ -299,12 +303,13 @@
         await self._claim()
         return LEAD_PAUSE_S
 
-    async def _lease_out(self) -> None:
-        """As leader: the blocks that nobody owns."""
-        for block in self.cluster.orphans(self.block_count):
-            held = self.cluster.blocks.get(block)
+    async def _grant_orphans(self) -> None:
+        """As leader: the blocks that nobody owns, then the duties that nobody holds."""
+        keys = [*self.block_keys, *(self.duty_keys if self.duties_granted else ())]
+        for key in self.cluster.orphans(keys):
+            held = self.cluster.grants.get(key)
             if held is None or self.may_replace(held[0]):
-                await self._grant(block)
+                await self._grant(key)
 
     def _claim_turn_us(self) -> int:
         """When it is this candidate's turn to claim the leader's place. All may claim in the end:
@@ -332,7 +337,7 @@
         log.info("leading as %s/%s", self.name, self.incarnation)
         self.wake.set()
 
-    async def _grant(self, block: int) -> None:
+    async def _grant(self, key: str) -> None:
         cluster = self.cluster
         assert cluster.leader is not None
         counter, fencing_token_version = cluster.fencing_token or (Counter(0), 0)
@@ -341,34 +346,38 @@
             Guard(LEADER, cluster.leader[1]),
             Guard(FENCING_TOKEN, fencing_token_version),
         ]
-        held = cluster.blocks.get(block)
-        guards.append(Guard(block_key(block), held[1] if held else 0))
-        target = cluster.taker(block, self.name) or self.name
+        held = cluster.grants.get(key)
+        guards.append(Guard(key, held[1] if held else 0))
+        target = cluster.taker(key, self.name) or self.name
         named = {held[0].name if held is not None else "", target} - {"", self.name}
         for name in sorted(named):  # the old owner's lease has ended; the new one lives
             guards.append(Guard(member_key(name), cluster.member_version(name)))
         grant = Grant(target, cluster.members[target][0].incarnation, counter.last + 1)
+        if key in self.duty_keys:
+            # An older member that joins in this very moment makes the grant fail.
+            guards += upgrade.member_guards(cluster, cluster.members.keys() - named - {self.name})
+            grant.granted_at = wall_us()
         version = await self.state.multi(
-            guards, [Put(FENCING_TOKEN, Counter(grant.fencing_token)), Put(block_key(block), grant)]
+            guards, [Put(FENCING_TOKEN, Counter(grant.fencing_token)), Put(key, grant)]
         )
         cluster.fencing_token = (Counter(grant.fencing_token), version)
-        self._note_block(block, grant, version)
+        self._note_grant(key, grant, version)
         log.info(
-            "block %d leased to %s with fencing token %d", block, grant.name, grant.fencing_token
+            "%s leased to %s with fencing token %d", spoken(key), grant.name, grant.fencing_token
         )
         self.changed()
 
-    async def step_down(self, block: int, leader_too: bool) -> bool:
-        """Hand a block back, and the leader's place if so wished, for others to take; the caller
-        has stopped acting for it."""
-        held = self.owned(block)
+    async def step_down(self, key: str, leader_too: bool) -> bool:
+        """Hand a block or duty back, and the leader's place if so wished, for others to take; the
+        caller has stopped acting for it."""
+        held = self.owned(key)
         if held is None:
             return True
         if leader_too:
             self.shy_until = now_us() + 15_000_000
-        guards = [self.guard(), Guard(block_key(block), held[1])]
+        guards = [self.guard(), Guard(key, held[1])]
         free = Grant("", "", held[0].fencing_token, avoid=self.name)
-        apply: list[Put | Drop] = [Put(block_key(block), free)]
+        apply: list[Put | Drop] = [Put(key, free)]
         if leader_too and self.leads and self.cluster.leader is not None:
             guards.append(Guard(LEADER, self.cluster.leader[1]))
             apply.append(Drop(LEADER))
@@ -377,6 +386,12 @@
         except TROUBLE as fault:
             log.info("stepping down: %s", fault)
             return False
-        self._note_block(block, free, version)
-        log.info("block %d handed back", block)
+        self._note_grant(key, free, version)
+        log.info("%s handed back", spoken(key))
         return True
+
+
+def spoken(key: str) -> str:
+    """What a grant's key stands for, in the log: "block 0", "duty rent"."""
+    _, kind, name = key.split("/")
+    return f"{kind} {name}"
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -15,10 +15,12 @@
 from basaltlead.clock import now_us
 from basaltlead.core.cancellations import Cancellations
 from basaltlead.core.fleet import OfferBook
-from basaltlead.core.leadership import Grant
+from basaltlead.core.leadership import Grant, block_key
 from basaltlead.core.market import Market, Promises, Terms
 from basaltlead.core.model import US, Kind
 from basaltlead.dispatcher import LEAST_SOCKETS
+from basaltlead.duties.coordinator import HeldDuties
+from basaltlead.duties.model import DUTY_KEYS
 from basaltlead.leasing import Leasing
 from basaltlead.logs import LogRateLimiter, log
 from basaltlead.machine_types import MachineTypes
@@ -55,6 +57,7 @@
         self.member = Membership(
             settings.member, [peer.member for peer in settings.known], self.state,
             settings.session_lease_us, settings.operator.blocks,
+            DUTY_KEYS if settings.operator.duties else (),
         )  # fmt: skip
         self.member.changed = self._changed
         self.cancellations = Cancellations(now_us())
@@ -70,6 +73,7 @@
         self.user_api.cancelled = self._cancelled
         self.kinds: dict[str, Kind] = self.user_api.kinds
         self.owners: dict[int, Owner] = {}
+        self.duties = HeldDuties(settings, self.member, self.state, self.cloud, spread)
         self.types = MachineTypes(
             self.cloud, self.state, self.member, self.kinds, lambda: bool(self.owners)
         )
@@ -98,7 +102,9 @@
 
     def every_task(self) -> list[asyncio.Task[None]]:
         """All that runs in this process: a crash ends it without a word."""
-        return [*self.tasks, *(task for owner in self.owners.values() for task in owner.tasks)]
+        background = [owner.background for owner in self.owners.values()]
+        background += [holder.background for holder in self.duties.holders.values()]
+        return [*self.tasks, *(task for one in background for task in one.running)]
 
     def _spawn(self, work: Any, name: str) -> None:
         """A loop that is started again, and logged, should it ever fail."""
@@ -118,8 +124,9 @@
 
     def _changed(self) -> None:
         """The cluster has changed: take up blocks that are ours, let go those that are not."""
+        self.duties.changed()
         for number in range(self.settings.operator.blocks):
-            held = self.member.owned(number) if self.member.version else None
+            held = self.member.owned(block_key(number)) if self.member.version else None
             owner = self.owners.get(number)
             if owner is not None and (held is None or held[1] != owner.version):
                 log.info("block %d let go", number)
@@ -189,13 +196,22 @@
                     owner.resigned = True
                 if owner.resigned:
                     await self._hand_back(number, owner, leader_too=True)
-            surplus = self.member.cluster.overloaded(self.member.name)
-            if surplus in self.owners and self.owners[surplus].acts:
-                self.owners[surplus].resigned = True
-                await self._hand_back(surplus, self.owners[surplus], leader_too=False)
+            await self.duties.hand_back()
+            surplus = self.member.cluster.surplus(self.member.name)
+            if surplus is not None:
+                await self._give_away(surplus)
+
+    async def _give_away(self, key: str) -> None:
+        """Hand back what a member without any of its kind should have."""
+        if await self.duties.give_away(key):
+            return
+        for number, owner in list(self.owners.items()):
+            if block_key(number) == key and owner.acts:
+                owner.resigned = True
+                await self._hand_back(number, owner, leader_too=False)
 
     async def _hand_back(self, number: int, owner: Owner, leader_too: bool) -> None:
-        if await self.member.step_down(number, leader_too):
+        if await self.member.step_down(block_key(number), leader_too):
             owner.stop()
             self.owners.pop(number, None)
 
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -5,11 +5,12 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import msgspec
 
+from basaltlead.background import BackgroundTasks
 from basaltlead.clients.base import Backoff, encode
 from basaltlead.clients.state import TROUBLE, Conflict, State
 from basaltlead.clock import age_us, now_us
@@ -30,10 +31,12 @@
     LEASE,
     MACHINE,
     OPEN,
+    RETURN,
     TEAM,
     StoredHire,
     StoredJob,
     StoredMachine,
+    StoredReturn,
     job_of,
 )  # fmt: skip
 from basaltlead.result_rows import CHUNK_BLOCKS, ResultLayout, load_results, split_open
@@ -89,6 +92,8 @@
         # how long already, so until we have looked ourselves we may renew no lease.
         self.cancellations_read_at: int | None = None
         self.hires: dict[str, StoredHire] = {}
+        self.returns: dict[str, StoredReturn] = {}  # recorded and not carried out
+        self.returning: set[str] = set()  # the machines of those
         self.versions: dict[str, int] = {}  # of rows that we write more than once
         self.limits = settings.store_limits
         self.layout = ResultLayout(self.limits.value_bytes)
@@ -96,7 +101,9 @@
         self.orphans: list[str] = []  # rows of jobs that are over, found while loading
         self.shared = settings.operator.blocks > 1  # is the work leased in parts?
         self.early: dict[str, int] = {}  # answers given before the block was loaded
-        self.tasks: set[asyncio.Task[None]] = set()
+        # A loop of ours must never end unseen. A fresh grant starts from what is stored.
+        self.background = BackgroundTasks(self._resign)
+        self.spawn = self.background.spawn
         self.wake = asyncio.Event()
         self.job_classes: dict[str, JobClass] = {}
         self.dispatcher = WorkerDispatcher(self)
@@ -142,29 +149,16 @@
 
     # Life
 
-    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> "asyncio.Task[None]":
-        """Run something beside the loops; it ends with the owner."""
-        task = asyncio.get_running_loop().create_task(work, name=name)
-        self.tasks.add(task)
-        task.add_done_callback(self._ended)
-        return task
-
-    def _ended(self, task: "asyncio.Task[None]") -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("%s failed", task.get_name(), exc_info=task.exception())
-            if task.get_name().startswith("loop "):
-                # A loop of ours must never end unseen. A fresh grant starts from what is stored.
-                self.resigned = True
-                self.member.wake.set()
+    def _resign(self) -> None:
+        self.resigned = True
+        self.member.wake.set()
 
     def start(self) -> None:
         self.spawn(self._run(), "loop load")
 
     def stop(self) -> None:
         self.resigned = True
-        for task in list(self.tasks):
-            task.cancel()
+        self.background.cancel()
         self.dispatcher.close()
 
     async def _run(self) -> None:
@@ -200,6 +194,10 @@
         for row in rows:
             self._take_open(row.key, row.value, row.version, now_us())
         self.cancellations_read_at = asked
+        # Before the machines: one that is returned meanwhile stands in neither or in both.
+        returns, _ = await self.state.rows(RETURN)
+        for row in returns:
+            self.note_return(row.key, msgspec.json.decode(row.value, type=StoredReturn))
         machines, _ = await self.state.rows(MACHINE)
         hires, _ = await self.state.rows(HIRE)
         teams, _ = await self.state.rows(TEAM)
@@ -216,6 +214,8 @@
             machine.address = stored.address
             machine.made_at = now - age_us(stored.at)
             machine.answered_at = self.early.get(machine.name, block.took_at)
+            machine.deleting = machine.name in self.returning
+            self.versions[row.key] = row.version
             block.load_machine(machine)
         for row in hires:
             hire = msgspec.json.decode(row.value, type=StoredHire)
@@ -234,6 +234,19 @@
         )  # fmt: skip
         return revision
 
+    def note_return(self, key: str, stored: StoredReturn) -> None:
+        """Machines are recorded as to be returned: nothing may start on them from now on."""
+        self.returns[key] = stored
+        self.returning.update(stored.names)
+
+    def forget_return(self, key: str) -> StoredReturn | None:
+        """Those machines are gone."""
+        stored = self.returns.pop(key, None)
+        if stored is not None:
+            others = {name for one in self.returns.values() for name in one.names}
+            self.returning -= set(stored.names) - others
+        return stored
+
     def _take_open(self, key: str, raw: msgspec.Raw, version: int, now: int) -> None:
         ref, part = split_open(key)
         if part is None:
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -7,10 +7,12 @@
 hire/<id>        a hire: written before its request, with the names after it
 mach/<name>      a machine that tasks may have been started on
 team/<name>      budget and bids
+return/<id>      machines that are to be returned: written before the cloud is asked
+history/<duty>/<n>   what the holders of a duty did, in a ring of pages
 """
 
 import msgspec
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 from basaltlead.core.model import RANKS, US, Job, Kind, Shape
 from basaltlead.wire.cloud import MachineType
@@ -23,6 +25,8 @@
 MACHINE = "mach/"
 TEAM = "team/"
 TYPES = "types"
+RETURN = "return/"
+HISTORY = "history/"
 
 
 class StoredJob(Struct, omit_defaults=True):
@@ -78,6 +82,20 @@
     at: int
     names: list[str] | None = None
     block: int = 0
+    # Of requests that a duty's holder carries out: the fencing token of the holder at that time,
+    # and why the cloud refuses the request for good, if it does.
+    duty_token: int | UnsetType = UNSET
+    refused: str | UnsetType = UNSET
+
+
+class StoredReturn(Struct, omit_defaults=True):
+    """Machines that are to be returned. From when this is stored nothing may start on them."""
+
+    names: list[str]
+    token: int  # fencing token of the grant under which it was decided
+    at: int
+    why: str = ""
+    refused: str = ""  # why the cloud refuses to delete some of them for good
 
 
 class StoredMachine(Struct):
--- a/basaltlead/results.py
+++ b/basaltlead/results.py
@@ -121,11 +121,11 @@
     async def sweep(self, ref: str, keys: list[str]) -> None:
         """Drop rows of a job that is over, and that nobody reads any more. Guarded on its being
         over: what was listed page by page may show rows of a job that is not."""
-        most = self.owner.limits.operations
+        if self.owner.member.duties_granted:
+            return  # left to the holder of the duty of clean-up
         guards = [*self.owner.guards(), Guard(OPEN + ref, 0)]
-        for low in range(0, len(keys), most):
-            drops = [Drop(key) for key in keys[low : low + most]]
-            await self.store(self._drop(guards, drops))
+        for some in self.owner.limits.drops(keys):
+            await self.store(self._drop(guards, list(map(Drop, some))))
 
     async def _drop(self, guards: list[Guard], drops: list[Drop]) -> None:
         await self.owner.state.multi(guards, drops, can_wait=True)
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -133,6 +133,7 @@
     idle_share: Annotated[float, Meta(ge=0, le=100)] = 0.6
     blocks: Annotated[int, Meta(ge=1, le=16)] = 1
     right_s: Annotated[float, Meta(ge=1, le=600)] | None = None
+    duties: bool = False
 
 
 class Settings(Struct):
--- a/basaltlead/store_limits.py
+++ b/basaltlead/store_limits.py
@@ -1,12 +1,9 @@
 """What the state service takes, and how rows are divided into transactions that it accepts."""
 
-from collections.abc import Iterator, Mapping
-from typing import TypeVar
+from collections.abc import Iterable, Iterator, Mapping
 
 from msgspec import Struct
 
-T = TypeVar("T")
-
 TRANSACTION_BYTES = 64 * 1024
 GUARDS_PER_OPERATION = 4
 # Of a transaction's bytes, what guards, keys and punctuation may take beside the values.
@@ -38,6 +35,10 @@
             return f"{total} bytes, {TRANSACTION_BYTES} are allowed"
         return ""
 
+    def drops(self, keys: Iterable[str]) -> Iterator[list[str]]:
+        """Divide keys that are to be dropped into transactions that are accepted."""
+        return self.batches(dict.fromkeys(keys, 0))
+
     def batches(self, sizes: Mapping[str, int]) -> Iterator[list[str]]:
         """Divide rows, given the size of each value, into transactions that are accepted."""
         batch: list[str] = []
--- a/basaltlead/upgrade.py
+++ b/basaltlead/upgrade.py
@@ -9,6 +9,10 @@
 take it for an array. Should such a process join later and get the block, it fails to load it and
 hands it back, to one that can.
 
+Duties are granted to holders of their own while no member key names a version that does not know
+them. Beside an older member the blocks' owners carry them out, as they did before; what the holders
+had recorded and not carried out stays recorded, and is carried out by whoever may.
+
 Once no controller of version 0 is left anywhere, `services_allowed` and `member_guards` can go,
 and so can the chunk rows' empty field in `result_rows`.
 """
@@ -19,13 +23,30 @@
 from basaltlead.wire.state import Guard
 
 SERVICES = 1  # the version that knows services
-CURRENT = SERVICES
+DUTIES = 2  # the version whose duties are granted on their own
+CURRENT = DUTIES
+
+
+def record_version(duties: bool) -> int:
+    """What a member key names. A controller on which duties are switched off leaves them to the
+    blocks' owners, like one from before duties."""
+    return CURRENT if duties else SERVICES
+
+
+def duties_allowed(cluster: Cluster) -> bool:
+    """May duties be granted on their own, as far as we know? Beside a member that does not know
+    them they stay with the blocks' owners: it would neither read an intent nor leave it alone."""
+    return _all_know(cluster, DUTIES)
+
+
+def _all_know(cluster: Cluster, version: int) -> bool:
+    versions = [claim.version for claim, _ in cluster.members.values()]
+    return bool(versions) and min(versions) >= version
 
 
 def services_allowed(cluster: Cluster) -> bool:
     """May services be accepted, as far as we know? Not beside a member that can't read them."""
-    versions = [claim.version for claim, _ in cluster.members.values()]
-    return bool(versions) and min(versions) >= SERVICES
+    return _all_know(cluster, SERVICES)
 
 
 def member_guards(cluster: Cluster, names: Iterable[str]) -> list[Guard]:
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -36,6 +36,10 @@
         self.page = 500  # rows of a page of the list at most
         self.lag = 2.0  # how old a page of the list is, at least; some are twice that old
         self.mute = 0  # that many hires will be executed without an answer
+        self.trouble = 0  # the status that every call gets; 0: none
+        self.refusing: set[str] = set()  # types and machines that calls are refused for with 400
+        self.slowness = 0.02  # s until it answers
+        self.accepting: Callable[[str, dict[str, Any]], None] = lambda path, body: None
         self.past: dict[str, tuple[float, float, dict[str, Any]]] = {}  # born, gone, row
 
     async def start(self) -> None:
@@ -46,13 +50,18 @@
         return answer if self.garble is None else self.garble(answer)
 
     async def _answer(self, request: Request) -> Response:
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.slowness)
         path = request.path
+        if self.trouble:
+            return reply(self.trouble, {"error": "trouble"})
         if path == "/machine_types":
             return reply(200, {"Grades": list(self.TYPES)})
         if path == "/machines" and request.method == "GET":
             return self._list({k: v[0] for k, v in parse_qs(request.query).items()})
         body = json.loads(request.body)
+        if self.refusing & {body.get("Grade", ""), *body.get("Anvils", [])}:
+            return reply(400, {"error": "malformed"})
+        self.accepting(path, body)
         if path == "/machines/delete":
             for name in body["Anvils"]:
                 worker = self.machines.pop(name, None)
--- a/tests/fakes/old_version.py
+++ b/tests/fakes/old_version.py
@@ -37,6 +37,7 @@
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
         self.member.record_version = 0
+        self.member.duty_keys = []
 
     def _take_up(self, number: int, grant: Grant, version: int) -> None:
         super()._take_up(number, grant, version)
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -31,6 +31,7 @@
         self.late_by = (2.0, 12.0)
         self.late_keys = ""  # of which only those that put or drop something under this prefix
         self.garble: Callable[[Response], Response] | None = None  # what becomes of its answers
+        self.accepting: Callable[[list[dict[str, Any]]], None] = lambda changes: None
         self.event = asyncio.Event()
         self.writes = 0
         self.value_bytes = 8 * 1024
@@ -166,6 +167,8 @@
         if failed:
             return reply(409, {"failed": failed, "Ledger": self.revision})
         changes = body.get("Apply", [])
+        if changes:
+            self.accepting(changes)
         for change in changes:
             if change.get("Permit") is not None and change["Permit"] not in self.holds:
                 return reply(400, {"error": "no such lease"})
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -7,6 +7,7 @@
 
 from basaltlead.net.http import Pool
 from tests.fakes.cloud import FakeCloud
+from tests.fakes.duty_checker import DutyChecker
 from tests.fakes.old_version import OldNode
 from tests.fakes.rules import RuleChecker
 from tests.fakes.state import FakeState
@@ -39,6 +40,7 @@
         self.state = FakeState(loop)
         self.cloud = FakeCloud(self)
         self.rule_checker = RuleChecker(self)
+        self.duty_checker = DutyChecker(self.state, self.cloud)
         self.jobs: dict[str, dict[str, Any]] = {}
         self.asked_cancel: dict[str, bool] = {}
         self.running: dict[str, asyncio.Task[Any]] = {}
@@ -136,6 +138,7 @@
         self.state.refused.clear()
         self.state.late_writes = 0.0
         self.state.garble = self.cloud.garble = None
+        self.cloud.trouble = 0
         self.state.slowness = 1.0
         self.net.slow.clear()
         self.net.refusing.clear()
@@ -181,6 +184,21 @@
         assert len(acting) <= 1, acting
         return acting[0] if acting else None
 
+    def holder(self, duty: str) -> str | None:
+        """The node that acts for a duty, if one does; never two."""
+        acting = [
+            name
+            for name, node in self.parts.items()
+            for one, holder in node.duties.holders.items()
+            if one == duty and holder.acts
+        ]
+        assert len(acting) <= 1, acting
+        return acting[0] if acting else None
+
+    def other_node(self, *names: str | None) -> str:
+        """A controller that is none of these."""
+        return next(name for name in self.nodes if name not in names)
+
     async def busy(self, pieces: int, run_s: float) -> str:
         """Start, and have job 1 run with all its tasks; who owns the block."""
         await self.start()
@@ -312,4 +330,5 @@
         self.rule_checker.check()
         assert not self.rule_checker.broken, "; ".join(self.rule_checker.broken)
         assert not self.state.oversized, self.state.oversized[:3]
+        assert not self.duty_checker.stale, self.duty_checker.stale[:3]
         assert self.rule_checker.starts > 0
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -5,7 +5,7 @@
 import pytest
 
 from basaltlead.core.cancellations import Cancellations
-from basaltlead.core.leadership import Claim, Grant, session_validity_end
+from basaltlead.core.leadership import Claim, Grant, block_key, session_validity_end
 from basaltlead.wire.peers import Ask
 from tests.fakes import World
 from tests.world import Loop, play
@@ -157,7 +157,7 @@
         del member.cluster.members[owner]
         before = world.state.keys["c/block/0"]
         try:
-            await member._grant(0)
+            await member._grant(block_key(0))
         except Exception as fault:
             assert f"c/member/{owner}" in str(fault)
         assert world.state.keys["c/block/0"] == before
--- a/tests/world.py
+++ b/tests/world.py
@@ -89,6 +89,7 @@
         self.order: dict[int, float] = {}
         self.ends: dict[str, set[Transport]] = {}
         self.slow: dict[str, float] = {}  # hosts that take so much longer for all they hear
+        self.halving: dict[str, float] = {}  # hosts to which the later half of all comes so late
 
     def cut(self, a: str, b: str) -> None:
         self.cuts.add(frozenset((a, b)))
@@ -105,7 +106,12 @@
 
     def carry(self, end: Transport, data: bytes | None) -> None:
         link = frozenset((end.here, end.there))
-        if link in self.cuts:
+        late = self.halving.get(end.there)
+        if data is not None and late is not None and link not in self.cuts:
+            middle = len(data) // 2
+            self._later(end, data[:middle])
+            self.loop.call_later(late, self._later, end, data[middle:])
+        elif link in self.cuts:
             self.held.setdefault(link, []).append((end, data))
         else:
             self._later(end, data)
@@ -182,6 +188,7 @@
         self._selector = _Selector()
         self.net = Network(self, random.Random(seed))
         self.wall_off: dict[str, float] = {}  # how wrong a host's time of day is, in s
+        self.steady_off: dict[str, float] = {}  # by how much its steady clock has jumped
         self.frozen: dict[str, list[tuple[Any, Any, contextvars.Context]]] = {}
 
     def time(self) -> float:
@@ -241,7 +248,10 @@
     def time_of_day() -> int:
         return int((loop.time() + 1.7e9 + loop.wall_off.get(HOST.get(), 0.0)) * 1e9)
 
-    clock.use(lambda: int(loop.time() * 1e9), time_of_day, seed)
+    def steady() -> int:
+        return int((loop.time() + loop.steady_off.get(HOST.get(), 0.0)) * 1e9)
+
+    clock.use(steady, time_of_day, seed)
     try:
         loop.run_until_complete(story(loop))
     finally:
