--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -40,6 +40,7 @@
         self.deaf = False  # its reports arrive, but answers and commands don't reach it
         self.faulty = False  # all that runs on it fails
         self.answers_lost = False  # direct commands are executed, and their answers lost
+        self.failed = False  # it has stopped by itself
         self.mute = False  # it reaches no controller, while direct commands reach it
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.change = asyncio.Event()
@@ -53,7 +54,7 @@
         return {
             "Ref": self.name, "Addr": self.address, "Grade": self.kind["Label"],
             "Yard": self.zone, "Loaners": self.spot, "HeldS": self.age(),
-            "Stage": "running" if self.up else "starting",
+            "Stage": "failed" if self.failed else "running" if self.up else "starting",
         }  # fmt: skip
 
     def stop(self) -> None:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -139,6 +139,7 @@
         self.state.late_writes = 0.0
         self.state.garble = self.cloud.garble = None
         self.cloud.trouble = 0
+        self.cloud.slowness = 0.02
         self.state.slowness = 1.0
         self.net.slow.clear()
         self.net.refusing.clear()
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from basaltlead.duties.model import Duty
 from tests.fakes import World
 from tests.world import Loop, play
 
@@ -66,7 +67,11 @@
             world.boot(name)
 
 
-async def _trouble(world: World, chance: random.Random) -> None:
+KINDS = 21  # of troubles on any day
+DUTY_KINDS = 3  # and on days with duties
+
+
+async def _trouble(world: World, chance: random.Random, kinds: int = KINDS) -> None:
     """One trouble after the other, often before the last one is over."""
     pending: list[asyncio.Task[None]] = []
 
@@ -145,6 +150,16 @@
         await asyncio.sleep(seconds)
         world.thaw(name)
 
+    async def cloud_trouble(seconds: float) -> None:
+        world.cloud.trouble = chance.choice([429, 503])
+        await asyncio.sleep(seconds)
+        world.cloud.trouble = 0
+
+    async def slow_cloud(seconds: float) -> None:
+        world.cloud.slowness = 3.0
+        await asyncio.sleep(seconds)
+        world.cloud.slowness = 0.02
+
     async def hang_many(seconds: float) -> None:
         machines = [m for m in world.cloud.machines.values() if m.up and chance.random() < 0.4]
         for machine in machines:
@@ -167,7 +182,7 @@
         await asyncio.sleep(chance.uniform(1, 8))
         name = chance.choice(world.nodes)
         seconds = chance.choice([0.3, 2.0, 7.0, 15.0])
-        kind = chance.randrange(21)
+        kind = chance.randrange(kinds)
         if world.host(name) in world.loop.frozen:
             continue  # nothing else can befall it
         if kind == 0:
@@ -208,6 +223,12 @@
             work = refused_then_all(name)
         elif kind == 19:
             work = ail("mute", seconds)
+        elif kind == 21:
+            work = cloud_trouble(seconds)
+        elif kind == 22:
+            work = slow_cloud(seconds)
+        elif kind == 23:  # whoever holds a duty, and long enough to be replaced in all that it has
+            work = stand_still(world.holder(chance.choice(list(Duty))) or name, 60.0)
         else:
             work = die()
         pending.append(asyncio.get_running_loop().create_task(work))
@@ -230,6 +251,17 @@
     _play_day(seed, blocks=1 if seed % 4 else 3, machines=12, count=15, standing=8)
 
 
+@pytest.mark.parametrize("blocks", [1, 3])
+@pytest.mark.parametrize("seed", range(300, 306))
+def test_no_rule_breaks_and_no_stale_holder_acts_with_duties(seed: int, blocks: int) -> None:
+    _play_day(seed, blocks, machines=12, count=25, duties=True)
+
+
+@pytest.mark.parametrize("seed", range(400, 403))
+def test_no_rule_breaks_across_an_upgrade_to_duties(seed: int) -> None:
+    _play_day(seed, blocks=1, machines=12, count=15, standing=8, duties=True)
+
+
 async def _second_half(world: World, chance: random.Random, services: int) -> None:
     if not services:
         return
@@ -240,23 +272,29 @@
     world.lower_limits()
 
 
-def _play_day(seed: int, blocks: int, machines: int, count: int, standing: int = 0) -> None:
+def _play_day(
+    seed: int, blocks: int, machines: int, count: int, standing: int = 0, duties: bool = False
+) -> None:
     async def story(loop: Loop) -> None:
         chance = random.Random(seed)
         limits = {"blue": machines / 2} if seed % 2 else None
         later = {"value_kb": 1.0, "txn_ops": 4, "write_rps": 60.0} if standing else None
-        world = World(loop, seed, limits=limits, operator={"blocks": blocks}, later=later)
+        operator = {"blocks": blocks, "duties": duties}
+        world = World(loop, seed, limits=limits, operator=operator, later=later)
         world.old = set(world.nodes) if standing else set()
         world.copies = 0.1
         world.cloud.capacity = machines
         await world.start()
-        trouble = loop.create_task(_trouble(world, chance))
+        kinds = KINDS + DUTY_KINDS * duties
+        trouble = loop.create_task(_trouble(world, chance, kinds))
         users = loop.create_task(_users(world, chance, count))
         rest = loop.create_task(_second_half(world, chance, standing))
         while not (users.done() and rest.done()):
             world.rule_checker.check()
             for block in range(blocks):
                 world.owner(block)  # never two
+            for duty in Duty:
+                world.holder(duty)
             await asyncio.sleep(0.5)
         await users
         await rest
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -7,10 +7,20 @@
 import pytest
 
 from basaltlead.clients.state import Conflict
+from basaltlead.core.fleet import Offer
+from basaltlead.core.model import US
+from basaltlead.duties.abandoned import Strangers
 from basaltlead.duties.history import event
+from basaltlead.duties.holder import DutyHolder
 from basaltlead.duties.model import Duty
+from basaltlead.machine_returns import MachineReturns
+from basaltlead.records import StoredHire
+from basaltlead.rental_requests import RentalRequests
+from basaltlead.wire.cloud import Rented
 from tests.fakes import World
 from tests.fakes.cloud import FakeCloud
+from tests.fakes.state import FakeState
+from tests.fakes.worker import FakeWorker
 from tests.world import Loop, on_host, play
 
 ON = {"duties": True}
@@ -26,6 +36,7 @@
     world = World(loop, seed, operator=ON, **more)
     await world.start()
     await _settled(world)
+    await asyncio.sleep(2)  # every controller knows the machine types
     return world
 
 
@@ -221,3 +232,320 @@
         await _calm_end(world)
 
     play(story)
+
+
+# Controllers that are lost, cut off or replaced
+
+
+@pytest.mark.parametrize("duty", list(Duty))
+def test_leader_and_holder_lost_together_hold_nothing_up(duty: Duty) -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=6, RunS=10.0))
+        holder, leader = world.holder(duty), world.state.keys["c/leader"][0]["name"]
+        assert holder is not None
+        for name in {holder, leader}:
+            world.crash(name)
+        await world.until(lambda: world.holder(duty) not in (None, holder), seconds=2 * TAKEOVER)
+        await _calm_end(world)
+
+    play(story)
+
+
+def test_intents_that_were_open_when_all_were_restarted_are_carried_out_once() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=3, RunS=3.0))
+        await world.until_done("req-000001")
+        world.cloud.trouble = 503
+        await world.submit(world.job(2, Pieces=4, RunS=60.0, Cores=8.0))  # fits large ones only
+        await world.until(lambda: bool(_open(world, "hire/")))
+        await world.until(lambda: bool(_open(world, "return/")), seconds=120.0)
+        requested = set(_open(world, "hire/"))
+        for name in world.nodes:
+            world.crash(name)
+        await asyncio.sleep(5)
+        world.cloud.trouble = 0
+        for name in world.nodes:
+            world.boot(name)
+        await world.until(lambda: not requested & set(_open(world, "hire/")), seconds=30.0)
+        assert {f"hire/{name}" for name in world.cloud.hires} >= requested
+        await _calm_end(world)
+
+    play(story)
+
+
+@pytest.mark.parametrize("duty", [Duty.RENT, Duty.RETURN])
+def test_a_holder_cut_off_from_the_state_service_alone_is_replaced(duty: Duty) -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        holder = world.holder(duty)
+        assert holder is not None
+        world.net.cut(world.host(holder), FakeState.HOST)
+        await world.submit(world.job(1, Pieces=6, RunS=5.0), world.other_node(holder))
+        await world.until(lambda: world.holder(duty) not in (None, holder), seconds=2 * TAKEOVER)
+        await asyncio.sleep(20)
+        world.net.heal(world.host(holder), FakeState.HOST)
+        await _calm_end(world)
+
+    play(story)
+
+
+def test_an_older_version_takes_over_in_the_middle_and_hands_back() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=8, RunS=15.0))
+        await world.until(lambda: len(world.on("req-000001")) == 8)
+        world.cloud.trouble = 503
+        await world.submit(world.job(2, Pieces=16, RunS=15.0))
+        await world.until(lambda: bool(_open(world, "hire/")))
+        old = world.owner()
+        assert old is not None
+        world.crash(old)
+        world.old = {old}
+        world.boot(old)
+        for name in world.nodes:  # only the old one is left: it owns, and hires for itself
+            if name != old:
+                world.crash(name)
+        world.cloud.trouble = 0
+        await world.until(lambda: world.owner() == old, seconds=4 * TAKEOVER)
+        await world.until_done("req-000002", seconds=120.0)
+        world.crash(old)
+        world.old = set()
+        for name in world.nodes:
+            world.boot(name)
+        await _settled(world)
+        await world.submit(world.job(3, Pieces=8, RunS=5.0))
+        await _calm_end(world)
+
+    play(story)
+
+
+# The cloud
+
+
+@pytest.mark.parametrize("trouble", [429, 503])
+def test_trouble_of_the_cloud_in_the_middle_of_a_batch(trouble: int) -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=24, RunS=4.0))
+        await world.until(lambda: len(world.cloud.hires) >= 1)
+        world.cloud.trouble = trouble
+        await asyncio.sleep(8)
+        world.cloud.trouble = 0
+        await world.until_done("req-000001")
+        _when_recorded(world, "return/", lambda: setattr(world.cloud, "trouble", trouble))
+        await world.until(lambda: world.cloud.trouble == trouble, seconds=120.0)
+        await asyncio.sleep(8)
+        await _calm_end(world)
+
+    play(story)
+
+
+def test_a_grant_that_is_lost_while_the_cloud_answers_slowly() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        world.cloud.slowness = 3.5
+        await world.submit(world.job(1, Pieces=16, RunS=20.0))
+        await world.until(lambda: bool(_open(world, "hire/")))
+        holder = world.holder(Duty.RENT)
+        assert holder is not None
+        world.crash(holder)
+        await asyncio.sleep(1)
+        world.boot(holder)
+        await asyncio.sleep(15)
+        world.cloud.slowness = 0.02
+        machines = [name for names in world.cloud.hires.values() for name in names]
+        assert len(machines) == len(set(machines)) == world.cloud.count
+        await _calm_end(world)
+
+    play(story)
+
+
+@pytest.mark.parametrize("duty", [Duty.RENT, Duty.RETURN])
+def test_calls_that_arrive_minutes_late_rent_and_delete_nothing_that_was_not_recorded(
+    duty: Duty,
+) -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=3, RunS=3.0))
+        await world.until_done("req-000001")
+        holder = world.holder(duty)
+        assert holder is not None
+        world.net.cut(world.host(holder), FakeCloud.HOST)
+        if duty == Duty.RENT:
+            await world.submit(world.job(2, Pieces=16, RunS=10.0))
+        await world.until(
+            lambda: bool(_open(world, "return/" if duty == Duty.RETURN else "hire/")), seconds=120
+        )
+        await asyncio.sleep(10)
+        world.crash(holder)
+        await asyncio.sleep(150)
+        world.net.heal(world.host(holder), FakeCloud.HOST, deliver=True)
+        world.boot(holder)
+        await _calm_end(world)
+
+    play(story)
+
+
+def test_what_the_cloud_refuses_for_good_is_shown_and_holds_up_nothing_else() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        world.cloud.refusing.add("large")
+        await world.submit(world.job(1, Pieces=2, RunS=3.0, Cores=8.0))  # fits large ones only
+        await world.submit(world.job(2, Pieces=6, RunS=3.0))
+        await world.until_done("req-000002")
+        await asyncio.sleep(150)
+        hanging = [v[0] for k, v in world.state.keys.items() if k.startswith("hire/")]
+        assert hanging and all("400" in one["refused"] for one in hanging)
+        offers = [(one["zone"], one["spot"]) for one in hanging]
+        assert len(offers) == len(set(offers))  # none is asked for twice: so there are few
+        world.cloud.refusing.clear()
+        await world.until_done("req-000001", seconds=120.0)
+        victim = next(iter(world.cloud.machines))
+        world.cloud.refusing.add(victim)
+        await world.until(lambda: set(world.cloud.machines) == {victim}, seconds=200.0)
+        await world.until(lambda: bool(_events(world, "refused")))
+        world.cloud.refusing.clear()
+        await _calm_end(world)
+
+    play(story)
+
+
+def _listed(name: str, age_s: float = 5.0) -> Rented:
+    return Rented(name, "small", "a", True, "running", "10.1.0.1:9", age_s)
+
+
+def test_a_list_that_lags_makes_no_machine_look_abandoned() -> None:
+    strangers = Strangers(patience=6 * US)
+    offer = Offer("small", "a", True)
+    for second in range(0, 21, 4):
+        strangers.listed([_listed("m-1")], known=(), asked=second * US)
+        abandoned = strangers.abandoned([_listed("m-1")], in_progress=[offer], asked=second * US)
+        assert abandoned == []  # a request in progress may have brought it
+        abandoned = strangers.abandoned([_listed("m-1")], in_progress=[], asked=second * US)
+        assert bool(abandoned) == (second > 6)  # it may be one that was deleted
+    strangers.listed([_listed("m-1")], known=["m-1"], asked=24 * US)
+    strangers.listed([_listed("m-1")], known=[], asked=28 * US)
+    assert strangers.abandoned([_listed("m-1")], [], 30 * US) == []  # known meanwhile
+
+
+def test_machines_of_a_hire_in_progress_are_not_adopted_and_late_ones_are() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        world.cloud.mute = 4  # carried out, and not answered: the list shows them first
+        await world.submit(world.job(1, Pieces=4, RunS=30.0))
+        await world.until(lambda: bool(world.cloud.machines))
+        await asyncio.sleep(3)
+        world.cloud.slowness = 3.0
+        await asyncio.sleep(25)
+        assert _events(world, "adopted") == []
+        world.cloud.slowness = 0.02
+        await world.until_done("req-000001")
+        kind = world.cloud.TYPES[0]
+        late = world.cloud.machines["m-000900"] = FakeWorker(world, "m-000900", kind, "a", True)
+        late.work.cancel()  # it never comes up, so nobody hears of it but by the list
+        await world.until(lambda: bool(_events(world, "adopted")), seconds=60.0)
+        await _calm_end(world)
+
+    play(story)
+
+
+def test_a_failed_machine_that_its_owner_returns_too_goes_once() -> None:
+    """Two holders of different duties touch one machine."""
+
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=3, RunS=3.0))
+        await world.until_done("req-000001")
+        failed = next(iter(world.cloud.machines.values()))
+        failed.failed = True
+        failed.hung = True
+        await world.until(lambda: failed.name not in world.cloud.machines, seconds=60.0)
+        await world.until(lambda: not _open(world, "return/"))
+        assert f"mach/{failed.name}" not in world.state.keys
+        await _calm_end(world)
+
+    play(story)
+
+
+def test_machines_of_a_block_that_is_granted_no_more_are_returned() -> None:
+    async def story(loop: Loop) -> None:
+        world = World(loop, operator={"duties": True, "blocks": 2})
+        await world.start()
+        await _settled(world)
+        await world.submit(world.job(1, Pieces=40, RunS=300.0))
+        held = world.state.keys
+        await world.until(
+            lambda: any(k.startswith("mach/") and v[0]["block"] == 1 for k, v in held.items())
+        )
+        for name in world.nodes:
+            world.crash(name)
+        world.operator = ON
+        for name in world.nodes:
+            world.boot(name)
+        await world.until(
+            lambda: not any(k.startswith("mach/") and v[0]["block"] == 1 for k, v in held.items()),
+            seconds=120.0,
+        )
+        assert any(one["count"] for one in _events(world, "to be returned"))
+        world.verdict()
+
+    play(story)
+
+
+# The checker finds what it is for
+
+
+def test_a_stale_holder_is_found_once_its_guard_is_taken_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(DutyHolder, "guards", lambda holder: [])
+    monkeypatch.setattr(DutyHolder, "acts", True)
+    monkeypatch.setattr(DutyHolder, "stop", lambda holder: None)
+
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        stale = world.state.keys["c/duty/rent"][0]["name"]
+        world.cloud.trouble = 503
+        _when_recorded(world, "hire/", lambda: world.freeze(stale))
+        await world.submit(world.job(1, Pieces=8, RunS=30.0), world.other_node(stale))
+        await asyncio.sleep(30)
+        world.freeze(world.state.keys["c/duty/rent"][0]["name"])
+        world.cloud.trouble = 0
+        world.thaw(stale)
+        await asyncio.sleep(5)
+        assert any("rent: rented" in one for one in world.duty_checker.stale)
+
+    play(story)
+
+
+async def _delete_at_once(returns: MachineReturns, names: list[str]) -> None:
+    await returns._delete(names)
+
+
+async def _send_at_once(requests: RentalRequests, name: str, stored: StoredHire) -> None:
+    requests.owner.hires[name] = stored
+    await requests._carry_out(name, stored)
+
+
+@pytest.mark.parametrize(
+    ("part", "method", "mutant", "found"),
+    [
+        (MachineReturns, "_record", _delete_at_once, "deleted without a record"),
+        (RentalRequests, "_record", _send_at_once, "rented without a record"),
+    ],
+)
+def test_a_call_without_a_recorded_intent_is_found(
+    part: type, method: str, mutant: Any, found: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(part, method, mutant)
+
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        await world.submit(world.job(1, Pieces=3, RunS=3.0))
+        await world.until(
+            lambda: any(found in one for one in world.duty_checker.stale), seconds=120.0
+        )
+
+    play(story)
--- a/tests/world.py
+++ b/tests/world.py
@@ -255,6 +255,8 @@
     try:
         loop.run_until_complete(story(loop))
     finally:
+        for host in list(loop.frozen):  # what stands still can't be ended
+            loop.thaw(host)
         left = asyncio.all_tasks(loop)
         for task in left:
             task.cancel()
