A command that pauses and resumes three real controllers on loopback

Need: stories play in simulated time; that a process that stands still and goes on does nothing stale has to be seen with real processes too.

Change: python3 -m tests.loopback plays the stand-ins on loopback addresses with real controllers, and sends SIGSTOP and SIGCONT at random; the two checkers judge.

--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -28,7 +28,7 @@
         self.zone = zone
         self.spot = spot
         number = int(name[2:])
-        self.host = f"10.1.{number // 250 % 4}.{number % 250}"
+        self.host = f"{world.NETWORK}.1.{number // 250 % 4}.{number % 250}"
         self.address = f"{self.host}:9000"
         self.born = self.loop.time()
         self.session = 1
@@ -70,7 +70,8 @@
 
     async def _live(self) -> None:
         await asyncio.sleep(self.kind["ReadyS"])
-        await Server(self.handle, 100).start(self.address)
+        server = self.world.servers[self.host] = Server(self.handle, 100)
+        await server.start(self.address)
         self.up = True
         self.lease_from = self.loop.time()
         clockwork = self.loop.create_task(self._run())
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any
 
-from basaltlead.net.http import Pool
+from basaltlead.net.http import Pool, Server
 from tests.fakes.cloud import FakeCloud
 from tests.fakes.duty_checker import DutyChecker
 from tests.fakes.old_version import OldNode
@@ -19,6 +19,7 @@
     """Three controllers and everything around them."""
 
     CANCEL = 20.0  # s: `cancel_s`
+    NETWORK = "10"  # first part of all addresses
 
     def __init__(
         self, loop: Loop, seed: int = 1, nodes: int = 3, limits: dict[str, float] | None = None,
@@ -44,13 +45,14 @@
         self.jobs: dict[str, dict[str, Any]] = {}
         self.asked_cancel: dict[str, bool] = {}
         self.running: dict[str, asyncio.Task[Any]] = {}
+        self.servers: dict[str, Server] = {}  # of the workers, by host
         self.parts: dict[str, Any] = {}
 
     def fronts(self) -> list[tuple[str, str]]:
-        return [(name, f"10.0.0.{i + 1}:8080") for i, name in enumerate(self.nodes)]
+        return [(name, f"{self.host(name)}:8080") for name in self.nodes]
 
     def host(self, name: str) -> str:
-        return f"10.0.0.{self.nodes.index(name) + 1}"
+        return f"{self.NETWORK}.0.0.{self.nodes.index(name) + 1}"
 
     async def start(self) -> None:
         await self.state.start()
@@ -61,8 +63,12 @@
     def settings(self, name: str) -> Any:
         from basaltlead.settings import Settings, _convert
 
+        return _convert(self.settings_file(name), Settings, "test")
+
+    def settings_file(self, name: str) -> dict[str, Any]:
+        """What the platform tells a controller."""
         host = self.host(name)
-        return _convert(
+        return (
             {
                 "member": name, "location": "a",
                 "front": f"{host}:8080", "internal_addr": f"{host}:8081",
@@ -88,8 +94,7 @@
                     | ({"next": self.later} if self.later is not None else {}),
                     "cloud": {"rps": 10.0, "list_lag_s": 2.0},
                 },
-            },
-            Settings, "test",
+            }
         )  # fmt: skip
 
     def boot(self, name: str) -> None:
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,196 @@
+"""Three real controllers on loopback, paused and resumed at random while they work.
+
+    python3 -m tests.loopback --seed 7 --minutes 10
+
+The state service, the cloud, the workers and the users are the stand-ins of the stories, in this
+process; the controllers are processes of their own, with duties switched on. At the end everything
+is resumed, all jobs must get done and all machines must go. The rule checker and the checker of
+stale holders watch throughout; the result is printed as JSON, and the exit status is 1 if either
+has found anything.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from tests.fakes import World
+from tests.fakes.cloud import FakeCloud
+from tests.fakes.state import FakeState
+
+NETWORK = "127"
+OPERATOR = Path(__file__).resolve().parent.parent / "deploy" / "duties.yaml"
+PAUSES_S = (0.3, 2.0, 5.0, 12.0, 60.0)
+CALM_S = 240.0  # in which all must be done once nobody is paused any more
+
+
+class LoopbackNet:
+    """Where a machine stops, its server does."""
+
+    def __init__(self, world: "LoopbackWorld") -> None:
+        self.world = world
+
+    def power_off(self, host: str) -> None:
+        server = self.world.servers.pop(host, None)
+        if server is not None and server.listener is not None:
+            server.listener.close()
+            for connection in list(server.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+
+
+class LoopbackLoop:
+    """The event loop with the network that the stand-ins expect."""
+
+    def __init__(self, world: "LoopbackWorld") -> None:
+        self.real = asyncio.get_running_loop()
+        self.net = LoopbackNet(world)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+
+class LoopbackWorld(World):
+    """Controllers are processes."""
+
+    NETWORK = NETWORK
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        super().__init__(LoopbackLoop(self), seed)  # type: ignore[arg-type]
+        self.folder = folder
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.paused: set[str] = set()
+        self.pauses = 0
+
+    def boot(self, name: str) -> None:
+        self.loop.create_task(self._launch(name))
+
+    async def _launch(self, name: str) -> None:
+        path = self.folder / f"{name}.toml"
+        path.write_text(as_toml(self.settings_file(name)))
+        command = ["-m", "basaltlead", "serve", "--operator", str(OPERATOR), "--config", str(path)]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, *command, stderr=log
+            )
+
+    def pause(self, name: str) -> None:
+        self.paused.add(name)
+        self.pauses += 1
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        self.paused.discard(name)
+        self.processes[name].send_signal(signal.SIGCONT)
+
+
+def as_toml(fields: dict[str, Any]) -> str:
+    """Settings as a file: strings, numbers and lists are written as in JSON."""
+    return "".join(f"{key} = {_value(value)}\n" for key, value in fields.items())
+
+
+def _value(value: Any) -> str:
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{key} = {_value(one)}" for key, one in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(_value, value)) + "]"
+    return json.dumps(value)
+
+
+async def _pause_at_random(world: LoopbackWorld, chance: random.Random) -> None:
+    while True:
+        await asyncio.sleep(chance.uniform(1, 8))
+        awake = sorted(set(world.nodes) - world.paused)
+        if len(awake) < 2:
+            continue
+        name = chance.choice(awake)
+        world.pause(name)
+        asyncio.get_running_loop().call_later(chance.choice(PAUSES_S), world.resume, name)
+
+
+async def _submit_at_random(world: LoopbackWorld, chance: random.Random) -> None:
+    number = 0
+    while True:
+        number += 1
+        job = world.job(
+            number,
+            Pieces=chance.choice([1, 3, 8]),
+            Cores=chance.choice([1.0, 2.0]),
+            RunS=chance.choice([1.0, 4.0, 12.0]),
+            Shape=chance.choice(["batch", "batch", "group"]),
+        )
+        await world.submit(job)
+        await asyncio.sleep(chance.uniform(0, 25 if number % 5 else 60))
+
+
+def moved(world: LoopbackWorld) -> dict[str, int]:
+    """How often each duty was taken up."""
+    counts: dict[str, int] = {}
+    for key, (page, _, _) in world.state.keys.items():
+        if key.startswith("history/"):
+            taken = sum(event["action"] == "taken up" for event in page["events"])
+            counts[key.split("/")[1]] = counts.get(key.split("/")[1], 0) + taken
+    return counts
+
+
+async def run(seed: int, minutes: float) -> dict[str, Any]:
+    """Play, and tell what was found."""
+    chance = random.Random(seed)
+    FakeState.HOST, FakeState.ADDRESS = f"{NETWORK}.2.0.1", f"{NETWORK}.2.0.1:2379"
+    FakeCloud.HOST, FakeCloud.ADDRESS = f"{NETWORK}.2.0.2", f"{NETWORK}.2.0.2:8443"
+    with tempfile.TemporaryDirectory() as folder:
+        world = LoopbackWorld(seed, Path(folder))
+        await world.start()
+        await asyncio.sleep(3)
+        users = asyncio.create_task(_submit_at_random(world, chance))
+        pauses = asyncio.create_task(_pause_at_random(world, chance))
+        await asyncio.sleep(minutes * 60)
+        pauses.cancel()
+        users.cancel()
+        for name in world.nodes:
+            world.resume(name)
+        unfinished = await _calm_down(world)
+        for process in world.processes.values():
+            process.kill()
+        logs = "".join((Path(folder) / f"{n}.log").read_text() for n in world.nodes)
+    checker = world.duty_checker
+    return {
+        "seed": seed, "minutes": minutes, "pauses": world.pauses, "duties taken up": moved(world),
+        "jobs": len(world.jobs), "machines rented": world.cloud.count,
+        "actions checked": checker.actions, "calls repeated": checker.repeats,
+        "stale": checker.stale, "rules broken": world.rule_checker.broken,
+        "unfinished": unfinished, "failed loops": logs.count(" failed"),
+    }  # fmt: skip
+
+
+async def _calm_down(world: LoopbackWorld) -> list[str]:
+    """Everybody is awake: what is not done, or not returned, after a while."""
+    try:
+        async with asyncio.timeout(CALM_S):
+            told = world.rule_checker.told
+            accepted = [ref for ref in world.jobs if ref in told]
+            await world.until_done(*accepted, seconds=CALM_S)
+            await world.until(lambda: not world.cloud.machines, seconds=CALM_S)
+    except (TimeoutError, AssertionError) as fault:
+        return [f"{type(fault).__name__}: {fault}", *sorted(world.cloud.machines)]
+    return []
+
+
+def main() -> int:
+    """The command line."""
+    top = argparse.ArgumentParser(prog="tests.loopback", description="Pause real controllers.")
+    top.add_argument("--seed", type=int, default=1)
+    top.add_argument("--minutes", type=float, default=10.0)
+    options = top.parse_args()
+    result = asyncio.run(run(options.seed, options.minutes))
+    print(json.dumps(result, indent=1))
+    return 1 if result["stale"] or result["rules broken"] or result["unfinished"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
