Operators: basaltlead duties, audit export as Parquet, quiet times from a calendar

Need: operators have to see who holds what and which intents hang, keep the history, and keep machines through times in which nothing should move.

Change: two questions between controllers, answered from the state service; a command for each; the history as Parquet (pyarrow, zstd), page by page; an iCalendar file (icalendar, recurring-ical-events, tzdata) with a bound on money that is reserved before it is spent. The libraries are an extra, imported only where used.

--- a/basaltlead/cli.py
+++ b/basaltlead/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `basaltlead serve --config FILE`."""
+"""The command line: `basaltlead serve`, and the operators' commands."""
 
 import argparse
 import sys
@@ -7,19 +7,26 @@
 
 
 def parser() -> argparse.ArgumentParser:
-    """The command line: `serve`, with the settings files."""
+    """The command line: `serve` with the settings files, and what operators ask."""
     top = argparse.ArgumentParser(prog="basaltlead", description="A cluster scheduler.")
     top.add_argument("--version", action="version", version=f"basaltlead {__version__}")
     verbs = top.add_subparsers(dest="verb", required=True, metavar="VERB")
     serve = verbs.add_parser("serve", help="run one controller until it is killed")
     serve.add_argument("--operator", metavar="FILE", help="the operators' own settings (YAML)")
     serve.add_argument("--config", metavar="FILE", required=True, help="the platform's TOML file")
+    from basaltlead.duties import commands
+
+    commands.add_to(verbs)
     return top
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the command line; its exit status."""
     options = parser().parse_args(argv)
+    if options.verb != "serve":
+        from basaltlead.duties import commands
+
+        return commands.run(options)
     from basaltlead.settings import SettingsError, load
 
     try:
--- a/basaltlead/duties/clean_up_duty.py
+++ b/basaltlead/duties/clean_up_duty.py
@@ -58,7 +58,8 @@
         self.recorded: set[str] = set()  # machines of open requests that were seen recorded
         while True:
             await asyncio.sleep(PAUSE_S)
-            if not self.acts:
+            quiet = self.quiet_times is not None and self.quiet_times.current() is not None
+            if quiet or not self.acts:
                 continue
             try:
                 await self._drop_spent()
--- a/basaltlead/duties/coordinator.py
+++ b/basaltlead/duties/coordinator.py
@@ -1,5 +1,7 @@
 """The duties that this controller holds at the moment: taken up and let go with their grants."""
 
+from typing import TYPE_CHECKING
+
 from basaltlead.clients.cloud import Cloud
 from basaltlead.clients.state import State
 from basaltlead.duties.clean_up_duty import CleanUpDuty
@@ -12,6 +14,9 @@
 from basaltlead.membership import Membership
 from basaltlead.settings import Settings
 
+if TYPE_CHECKING:
+    from basaltlead.duties.quiet_times import QuietTimes
+
 HOLDERS: dict[Duty, type[DutyHolder]] = {
     holder.duty: holder for holder in (RentDuty, ReturnDuty, ReclaimDuty, CleanUpDuty)
 }
@@ -30,6 +35,7 @@
         self.callers = callers  # controllers that call the cloud while duties are not granted
         self.cloud_rate = 0.0
         self.holders: dict[Duty, DutyHolder] = {}
+        self.quiet_times: QuietTimes | None = None
 
     def changed(self) -> None:
         """The cluster has changed."""
@@ -46,6 +52,7 @@
                 self.holders[duty] = HOLDERS[duty](
                     self.settings, self.member, self.state, self.cloud, *held
                 )
+                self.holders[duty].quiet_times = self.quiet_times
                 self.holders[duty].start()
         self._share_cloud()
 
--- a/basaltlead/duties/holder.py
+++ b/basaltlead/duties/holder.py
@@ -1,5 +1,7 @@
 """The holder of one duty: it lives from the grant of the duty until that is lost."""
 
+from typing import TYPE_CHECKING
+
 from basaltlead.background import BackgroundTasks
 from basaltlead.clients.base import Backoff
 from basaltlead.clients.cloud import Cloud
@@ -12,6 +14,9 @@
 from basaltlead.settings import Settings
 from basaltlead.wire.state import Guard
 
+if TYPE_CHECKING:
+    from basaltlead.duties.quiet_times import QuietTimes
+
 
 class DutyHolder:
     """What all duties have in common. A new grant means a new holder."""
@@ -28,6 +33,7 @@
         self.cloud = cloud
         self.grant = grant
         self.version = version
+        self.quiet_times: QuietTimes | None = None
         self.resigned = False  # we have stopped acting, for good
         self.background = BackgroundTasks(self.resign)
         self.history = History(state, self, self.duty, member.name, grant.fencing_token)
--- a/basaltlead/duties/rent_duty.py
+++ b/basaltlead/duties/rent_duty.py
@@ -9,7 +9,7 @@
 from basaltlead.duties.history import event
 from basaltlead.duties.holder import DutyHolder
 from basaltlead.duties.model import Duty
-from basaltlead.duties.renting import Renting
+from basaltlead.duties.renting import MOST_REASON, Renting
 from basaltlead.logs import log
 from basaltlead.records import HIRE, StoredHire
 from basaltlead.watching import follow
@@ -103,7 +103,7 @@
         """Show it to operators and to the owner, which asks for something else."""
         if stored.refused is not msgspec.UNSET:
             return
-        stored.refused = reason[:200]
+        stored.refused = reason[:MOST_REASON]
         guards = [Guard(HIRE + name, self.versions.get(name, 0))]
         changes = [Put(HIRE + name, stored)]
         try:
--- a/basaltlead/duties/renting.py
+++ b/basaltlead/duties/renting.py
@@ -16,6 +16,7 @@
 
 IDLE_PAUSE_S = 0.5  # between two looks whether the grant is valid again
 REFUSED_PAUSE_S = 60.0  # before a request that the cloud refuses for good is sent once more
+MOST_REASON = 80  # characters of the cloud's reason that are recorded
 MOST_TRIES = 8  # to record how a request ended
 
 # Writes changes under guards; a duty's holder adds the page of its history.
--- a/basaltlead/machine_returns.py
+++ b/basaltlead/machine_returns.py
@@ -15,6 +15,7 @@
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
 from basaltlead.owner import Owner
+from basaltlead.quiet_keeping import QuietKeeping
 from basaltlead.reachability import Reachability
 from basaltlead.records import MACHINE, RETURN, StoredReturn
 from basaltlead.watching import follow
@@ -48,10 +49,13 @@
         self.reachability = reachability
         self.returning = Returning(cloud, owner)
         self.sequence = 0
+        self.quiet = QuietKeeping(owner) if owner.quiet_times is not None else None
 
     def start(self) -> None:
         """Go on with what is recorded."""
         self.owner.spawn(self._carry_out(), "loop return")
+        if self.quiet is not None:
+            self.owner.spawn(self.quiet.load(), "load quiet times")
         if self.owner.member.duty_keys:
             self.owner.spawn(self._follow(), "loop follow returns")
 
@@ -60,6 +64,8 @@
     def decide(self, needed: set[str], now: int) -> None:
         """Mark the machines that are to go; from then on nothing is started on them."""
         others_heard = self.reachability.others_heard(now)
+        if self.quiet is not None:
+            self.quiet.begin(now)
         for machine in list(self.owner.block.machines.values()):
             if machine.attempts or machine.deleting:
                 continue
@@ -80,7 +86,8 @@
         settled = self.owner.block.settled(machine)
         if machine.draining and settled:
             return "faulty"
-        if settled and machine.name not in needed and self._idle(machine, now):
+        idle = settled and machine.name not in needed and self._idle(machine, now)
+        if idle and not (self.quiet is not None and self.quiet.keeps(machine)):
             return "idle"
         return ""
 
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Coroutine
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -21,6 +21,7 @@
 from basaltlead.dispatcher import LEAST_SOCKETS
 from basaltlead.duties.coordinator import HeldDuties
 from basaltlead.duties.model import DUTY_KEYS
+from basaltlead.duties.reports import DutyReports
 from basaltlead.leasing import Leasing
 from basaltlead.logs import LogRateLimiter, log
 from basaltlead.machine_types import MachineTypes
@@ -33,6 +34,9 @@
 from basaltlead.user_api import UserApi, refusal
 from basaltlead.wire.workers import Elsewhere, Report
 
+if TYPE_CHECKING:
+    from basaltlead.duties.quiet_times import QuietTimes
+
 BID_BYTES = 40  # what a bid takes of a stored record at most
 RECORD_BYTES = 64  # and the rest of the record
 # For our own calls to state service, cloud and peers, the least that go to workers, and what the
@@ -61,7 +65,10 @@
         )  # fmt: skip
         self.member.changed = self._changed
         self.cancellations = Cancellations(now_us())
-        self.peers = Peers(self.member, settings.internal_addr, settings.known, self.cancellations)
+        self.peers = Peers(
+            self.member, settings.internal_addr, settings.known, self.cancellations,
+            DutyReports(self.state, self.member).answer,
+        )  # fmt: skip
         self.peers.cancellations_read_at = self._cancellations_read_at
         self.peers.over = self._over
         self.peers.covered = self._covered
@@ -78,6 +85,8 @@
             self.cloud, self.state, self.member, self.kinds, lambda: bool(self.owners)
         )
         self.offer_book = OfferBook()
+        self.quiet_times = quiet_times_of(settings)
+        self.duties.quiet_times = self.quiet_times
         self.log_limiter = LogRateLimiter()
         self.server: Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -148,6 +157,7 @@
         )
         owner.foreign = lambda name: self.leasing.block_of(name) not in (None, number)
         owner.sockets_left = self._sockets_left
+        owner.quiet_times = self.quiet_times
         owner.is_over = self.cancellations.__contains__
         autoscaler = Autoscaler(self.settings, self.cloud, owner, market, self.offer_book)
         owner.on_loaded = autoscaler.start
@@ -268,6 +278,15 @@
         return Response(421, encode(Elsewhere(elsewhere)))
 
 
+def quiet_times_of(settings: Settings) -> "QuietTimes | None":
+    """The operators' calendar, if there is one: only then its libraries are needed."""
+    if settings.operator.quiet is None:
+        return None
+    from basaltlead.duties.quiet_times import QuietTimes
+
+    return QuietTimes(settings.operator.quiet.calendar)
+
+
 def most_bids(value_bytes: int) -> int:
     """How many bids fit into a team's stored record."""
     return max(1, (value_bytes - RECORD_BYTES) // BID_BYTES)
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
@@ -46,6 +46,9 @@
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 from basaltlead.wire.workers import Orders, Report
 
+if TYPE_CHECKING:
+    from basaltlead.duties.quiet_times import QuietTimes
+
 PLAN_US = US // 2  # some things become possible by the mere passing of time
 TICK_US = US // 10  # how exactly the ends of leases are noticed
 
@@ -112,6 +115,7 @@
         self.on_loaded: Callable[[], None] = lambda: None
         self.is_over: Callable[[str], bool] = lambda ref: False  # is it known to be cancelled?
         self.foreign: Callable[[str], bool] = lambda name: False  # is it another block's?
+        self.quiet_times: QuietTimes | None = None
         self.sockets_left: Callable[[], int] = lambda: 1_000_000  # for direct orders
 
     # Lease validity
--- a/basaltlead/peers.py
+++ b/basaltlead/peers.py
@@ -15,7 +15,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -27,10 +27,11 @@
 from basaltlead.net.http import listen
 from basaltlead.net.netstring import FrameProtocol
 from basaltlead.settings import Peer
-from basaltlead.wire.peers import Ask, Cancelled, Message, TakeoverDeferral
+from basaltlead.wire.peers import Answer, Ask, Cancelled, Message, Question, TakeoverDeferral
 
 decoder = msgspec.json.Decoder(Message)
 MAX_LINKS = 16
+MOST_ANSWERS = 4  # questions of operators that are being answered
 # A question and its answer may be under way for this long together: the peer counts back from
 # when it reads the question, so it must look further back by that.
 PROMPT_US = 2_000_000
@@ -119,10 +120,12 @@
     """The links to and from all other controllers."""
 
     def __init__(
-        self, member: Membership, address: str, known: list[Peer], cancellations: Cancellations
-    ) -> None:
+        self, member: Membership, address: str, known: list[Peer], cancellations: Cancellations,
+        answer: Callable[[Question], Awaitable[Answer]],
+    ) -> None:  # fmt: skip
         self.member = member
         self.cancellations = cancellations
+        self.answer = answer
         self.address = address
         self.links = [Link(self, peer) for peer in known]
         self.names = {peer.member for peer in known}
@@ -132,6 +135,7 @@
         # Since when our owners can't have seen all cancellations; None without an owner.
         self.cancellations_read_at: Callable[[], int | None] = lambda: None
         self.over: Callable[[str], None] = lambda ref: None  # a job is cancelled
+        self.answering: set[asyncio.Task[None]] = set()  # questions of operators
         self.covered: Callable[[int, int], None] = lambda since, until: None
 
     def read(self, body: bytes) -> Message | None:
@@ -163,6 +167,13 @@
             protocol.send(encode(answer))
         elif isinstance(message, Cancelled):
             self.cancelled(message.refs)
+        elif isinstance(message, Question) and len(self.answering) < MOST_ANSWERS:
+            task = asyncio.get_running_loop().create_task(self._reply(protocol, message))
+            self.answering.add(task)
+            task.add_done_callback(self.answering.discard)
+
+    async def _reply(self, protocol: FrameProtocol, question: Question) -> None:
+        protocol.send(encode(await self.answer(question)))
 
     def _confirmed(self, blind_us: int | None) -> list[str] | None:
         """All cancellations that we have confirmed since the asker's last look, which was so
--- a/basaltlead/records.py
+++ b/basaltlead/records.py
@@ -8,6 +8,7 @@
 mach/<name>      a machine that tasks may have been started on
 team/<name>      budget and bids
 return/<id>      machines that are to be returned: written before the cloud is asked
+quiet/<block>    what is reserved to keep idle machines for the present quiet time
 history/<duty>/<n>   what the holders of a duty did, in a ring of pages
 """
 
@@ -27,6 +28,7 @@
 TYPES = "types"
 RETURN = "return/"
 HISTORY = "history/"
+QUIET = "quiet/"
 
 
 class StoredJob(Struct, omit_defaults=True):
--- a/basaltlead/rental_requests.py
+++ b/basaltlead/rental_requests.py
@@ -11,7 +11,7 @@
 from basaltlead.core.fleet import Offer, OfferBook
 from basaltlead.core.model import Machine
 from basaltlead.duties.model import Duty
-from basaltlead.duties.renting import Renting
+from basaltlead.duties.renting import MOST_REASON, Renting
 from basaltlead.logs import log
 from basaltlead.owner import Owner, placeholder_kind
 from basaltlead.records import HIRE, StoredHire
@@ -19,7 +19,7 @@
 from basaltlead.wire.state import Change, Drop, Guard, Put, Row
 
 MOST_IN_HIRE = 50  # the cloud rents that many at once
-HIRE_BYTES, NAME_BYTES = 512, 32  # what a hire's record takes, and each of its machines' names
+HIRE_BYTES, NAME_BYTES = 256, 32  # what a hire's record takes, and each of its machines' names
 MIND_PAUSE_S = 1.0  # between two looks for requests that are left to us
 
 
@@ -137,7 +137,7 @@
 
     async def _refused(self, name: str, reason: str) -> None:
         """Nobody counts on its machines, and nobody waits for it: others are asked for."""
-        self.owner.hires[name].refused = reason[:200]
+        self.owner.hires[name].refused = reason[:MOST_REASON]
         self.pending.pop(name, None)
 
     # What became of requests
--- a/basaltlead/settings.py
+++ b/basaltlead/settings.py
@@ -122,6 +122,13 @@
     quota: Quota = Quota()
 
 
+class Quiet(Struct, frozen=True, forbid_unknown_fields=True):
+    """Quiet times: an iCalendar file, and what idle machines may cost in each of them."""
+
+    calendar: str
+    most_cost: Positive
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """The operators' own YAML file. Every field has a default; see docs/operations.md."""
 
@@ -134,6 +141,7 @@
     blocks: Annotated[int, Meta(ge=1, le=16)] = 1
     right_s: Annotated[float, Meta(ge=1, le=600)] | None = None
     duties: bool = False
+    quiet: Quiet | None = None
 
 
 class Settings(Struct):
@@ -234,4 +242,14 @@
     except (yaml.YAMLError, UnicodeDecodeError) as fault:
         raise SettingsError(f"{path}: not YAML: {' '.join(str(fault).split())}") from None
     operator: Operator = _convert({} if data is None else data, Operator, path)
+    if operator.quiet is not None:
+        _check_calendar(operator.quiet.calendar, path)
     return operator
+
+
+def _check_calendar(calendar: str, path: str) -> None:
+    try:
+        from basaltlead.duties import quiet_times  # libraries that only this needs
+    except ImportError as fault:
+        raise SettingsError(f"{path}: quiet: {fault}: install basaltlead[operators]") from None
+    quiet_times.read(calendar)
--- a/basaltlead/wire/peers.py
+++ b/basaltlead/wire/peers.py
@@ -1,6 +1,6 @@
 """Controllers <-> controllers, in netstrings of JSON."""
 
-from msgspec import Struct
+from msgspec import Raw, Struct
 
 
 class Ask(Struct, tag="ask", tag_field="is", rename={"incarnation": "life"}):
@@ -34,4 +34,53 @@
     refs: list[str]
 
 
-Message = Ask | TakeoverDeferral | Cancelled
+class DutiesQuestion(Struct, tag="duties", tag_field="is"):
+    """An operator asks who holds which duty, and what is open."""
+
+
+class HeldDuty(Struct):
+    """A duty, its holder's name, fencing token, and the time of day of the grant; 0: not held."""
+
+    duty: str
+    holder: str
+    token: int
+    since: int
+
+
+class OpenIntent(Struct):
+    """What is recorded and not carried out."""
+
+    kind: str
+    name: str
+    machines: int
+    since: int
+    refused: str
+
+
+class DutiesAnswer(Struct, tag="duties-told", tag_field="is"):
+    """`unknown` tells why there is no answer; empty if there is one."""
+
+    unknown: str = ""
+    granted: bool = False  # on their own; else the blocks' owners carry them out
+    duties: list[HeldDuty] = []
+    intents: list[OpenIntent] = []  # the oldest, if there are many
+    open_count: int = 0
+
+
+class HistoryQuestion(Struct, tag="history", tag_field="is"):
+    """An operator asks for the first page of history after this key."""
+
+    after: str
+
+
+class HistoryAnswer(Struct, tag="history-told", tag_field="is"):
+    """A page and its key; without a key there is none left."""
+
+    unknown: str = ""
+    key: str = ""
+    page: Raw = Raw(b"null")
+
+
+Question = DutiesQuestion | HistoryQuestion
+Answer = DutiesAnswer | HistoryAnswer
+Message = Ask | TakeoverDeferral | Cancelled | Question | Answer
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,312 @@
+"""What operators see of duties, the exported history, and quiet times."""
+
+import asyncio
+import os
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import msgspec
+import pyarrow.parquet as pq
+import pytest
+
+from basaltlead import cli
+from basaltlead.core.model import US
+from basaltlead.duties import client
+from basaltlead.duties.audit_export import export
+from basaltlead.duties.history import PAGES, HistoryPage, event
+from basaltlead.duties.model import Duty
+from basaltlead.duties.quiet_allowance import HOUR_US, QuietAllowance, StoredQuiet
+from basaltlead.duties.quiet_times import QuietTime, QuietTimes, read
+from basaltlead.settings import SettingsError
+from basaltlead.wire.peers import (
+    DutiesAnswer,
+    DutiesQuestion,
+    HeldDuty,
+    HistoryAnswer,
+    HistoryQuestion,
+    OpenIntent,
+)
+from tests.fakes import World
+from tests.loopback import as_toml
+from tests.test_duties import ON, _started
+from tests.world import Loop, play
+
+SECOND = 1_000_000
+
+
+# Who holds what
+
+
+def test_every_controller_gives_the_same_answer_or_says_that_it_does_not_know() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        world.cloud.refusing.add("large")
+        await world.submit(world.job(1, Cores=8.0))
+        await asyncio.sleep(15)
+        addresses = [f"{world.host(name)}:8081" for name in world.nodes]
+        answers = [await client._ask(one, DutiesQuestion()) for one in addresses]
+        assert answers[0] == answers[1] == answers[2]
+        told = answers[0]
+        assert isinstance(told, DutiesAnswer) and told.granted and not told.unknown
+        assert {one.duty: one.holder for one in told.duties} == {d: world.holder(d) for d in Duty}
+        assert told.open_count == len(told.intents) > 0
+        assert all("400" in one.refused for one in told.intents)
+        pages = [await client._ask(one, HistoryQuestion("")) for one in addresses]
+        assert pages[0] == pages[1] == pages[2]
+        world.state.down = True
+        for wait_s in (1, 20):  # unanswered at first, then known to be away
+            await asyncio.sleep(wait_s)
+            for address in addresses:
+                assert (await client._ask(address, DutiesQuestion())).unknown
+                assert (await client._ask(address, HistoryQuestion(""))).unknown
+        world.state.outage_over()
+
+    play(story)
+
+
+@pytest.fixture
+def config(tmp_path: Path) -> str:
+    path = tmp_path / "settings.toml"
+    loop = asyncio.new_event_loop()
+    world = World(Loop())
+    loop.close()
+    path.write_text(as_toml(world.settings_file("node-0")))
+    return str(path)
+
+
+def _answering(answer: Any, monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    asked: list[str] = []
+
+    async def ask(address: str, question: Any) -> Any:
+        asked.append(address)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    monkeypatch.setattr(client, "_ask", ask)
+    return asked
+
+
+def test_the_command_shows_holders_and_open_intents(
+    config: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    answer = DutiesAnswer(
+        "", True, [HeldDuty("rent", "node-2", 7, 5 * SECOND), HeldDuty("return", "", 0, 0)],
+        [OpenIntent("rent", "h-1-1", 3, 5 * SECOND, "cloud: 400")], 1,
+    )  # fmt: skip
+    asked = _answering(answer, monkeypatch)
+    assert cli.main(["duties", "--config", config]) == 0
+    shown = capsys.readouterr().out
+    assert "rent       node-2                      7 1970-01-01T00:00:05+00:00" in shown
+    assert "nobody" in shown and "open intents: 1" in shown and "refused: cloud: 400" in shown
+    assert cli.main(["duties", "--json", "--controller", "node-1", "--config", config]) == 0
+    assert msgspec.json.decode(capsys.readouterr().out, type=DutiesAnswer) == answer
+    assert asked == ["10.0.0.1:8081", "10.0.0.2:8081"]
+
+
+@pytest.mark.parametrize(
+    ("answer", "arguments", "status", "text"),
+    [
+        (OSError(111, "Connection refused"), [], 3, "10.0.0.1:8081: Connection refused"),
+        (TimeoutError(), [], 3, "no answer within 5 s"),
+        (client.Unreachable("it closed the connection"), [], 3, "closed"),
+        (DutiesAnswer("the state service does not answer"), [], 4, "not known: the state"),
+        (DutiesAnswer(), ["--controller", "node-9"], 2, "no controller node-9"),
+        (DutiesAnswer(), ["--config", "/nowhere.toml"], 2, "/nowhere.toml: No such file"),
+    ],
+)
+def test_what_goes_wrong_has_a_text_and_an_exit_status(
+    answer: Any, arguments: list[str], status: int, text: str, config: str,
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    _answering(answer, monkeypatch)
+    assert cli.main(["duties", "--config", config, *arguments]) == status
+    assert text in capsys.readouterr().err
+
+
+# The history
+
+
+def _pages(duty: str, low: int, high: int) -> list[HistoryAnswer]:
+    """Pages of ten events each, in the order of their keys in the ring."""
+    pages = []
+    for number in range(low, high):
+        events = [event("returned", f"{number}-{n}", SECOND, ["m-1", "m-2"]) for n in range(10)]
+        raw = msgspec.json.encode(HistoryPage(number, number * 10, events))
+        pages.append(HistoryAnswer("", f"history/{duty}/{number % PAGES:03d}", msgspec.Raw(raw)))
+    return sorted(pages, key=lambda page: page.key)
+
+
+def test_the_exported_history_is_whole_in_order_and_says_where_it_was_cut(tmp_path: Path) -> None:
+    out = tmp_path / "history.parquet"
+    done = export([*_pages("rent", 0, 3), *_pages("return", 30, 30 + PAGES)], str(out))
+    assert (done.events, done.cut) == (30 + 10 * PAGES, {"return": 300})
+    file = pq.ParquetFile(out)
+    assert file.metadata.row_group(0).column(0).compression == "ZSTD"
+    rows = [row for batch in file.iter_batches(batch_size=64) for row in batch.to_pylist()]
+    assert len(rows) == done.events
+    assert [r["sequence"] for r in rows if r["duty"] == "return"] == list(range(300, 940))
+    assert rows[0]["count"] == 2 and rows[0]["names"] == ["m-1", "m-2"]
+
+
+def test_an_export_that_fails_leaves_no_file(tmp_path: Path) -> None:
+    def broken() -> Any:
+        yield from _pages("rent", 0, 2)
+        raise client.NotKnown("the state service does not answer")
+
+    with pytest.raises(client.NotKnown):
+        export(broken(), str(tmp_path / "history.parquet"))
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_the_recorded_history_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("basaltlead.duties.history.PAGES", 3)
+
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        name = world.holder(Duty.RETURN)
+        assert name is not None
+        history = world.parts[name].duties.holders[Duty.RETURN].history
+        for number in range(400):
+            await history.commit([], [], event("returned", f"1-{number}", SECOND, ["m-1"]))
+        rows = [v[0] for k, v in world.state.keys.items() if k.startswith("history/return/")]
+        assert len(rows) == 3
+        newest = max(rows, key=lambda page: page["number"])
+        assert newest["first"] + len(newest["events"]) == 401  # with the taking up
+        assert not world.duty_checker.stale
+
+    play(story)
+
+
+# Quiet times
+
+CALENDAR = """BEGIN:VCALENDAR
+VERSION:2.0
+PRODID:-//example//EN
+BEGIN:VEVENT
+UID:1
+DTSTART;TZID={zone}:20260101T010000
+DTEND;TZID={zone}:20260101T050000
+RRULE:FREQ=DAILY
+END:VEVENT
+END:VCALENDAR
+"""
+
+
+def _calendar(folder: Path, zone: str = "Europe/Berlin", **changes: str) -> str:
+    text = CALENDAR.format(zone=zone)
+    for old, new in changes.items():
+        lines = [new if line.startswith(old) else line for line in text.splitlines()]
+        text = "\n".join(lines)
+    path = folder / "quiet.ics"
+    path.write_text(text)
+    return str(path)
+
+
+def _at(zone: str, *moment: int) -> int:
+    return int(datetime(*moment, tzinfo=ZoneInfo(zone)).timestamp() * US)  # type: ignore[misc,arg-type]
+
+
+@pytest.mark.parametrize(
+    ("day", "hours"),
+    [((2026, 3, 28), 4), ((2026, 3, 29), 3), ((2026, 10, 25), 5), ((2026, 10, 26), 4)],
+)
+def test_a_quiet_time_follows_the_clock_of_its_zone(
+    day: tuple[int, int, int], hours: int, tmp_path: Path
+) -> None:
+    """It lasts from one to five by the wall: an hour less or more when the clock changes."""
+    start = _at("Europe/Berlin", *day, 1)
+    now = [start - 1]
+    times = QuietTimes(_calendar(tmp_path), lambda: now[0])
+    assert times.current() is None
+    now[0] = start
+    assert times.current() == QuietTime(start, start + hours * HOUR_US)
+    now[0] = start + hours * HOUR_US - 1
+    assert times.current() is not None
+    now[0] += 1
+    assert times.current() is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "text"),
+    [
+        ({"DTSTART": "DTSTART:20260101T010000"}, "line 6: DTSTART: needs a known time zone"),
+        ({"DTSTART": "DTSTART;TZID=Moon/Sea:20260101T010000"}, "line 6: DTSTART: needs a known"),
+        ({"DTSTART": "DTSTART;VALUE=DATE:20260101"}, "line 6: DTSTART: needs a date and a time"),
+        ({"DTEND": "DTEND:banana"}, "line 7: DTEND: "),
+        ({"DTEND": "DTEND;TZID=Europe/Berlin:20260104T010000"}, "line 7: DTEND: a quiet time"),
+        ({"DTEND": "SUMMARY:no end"}, "line 4: DTEND: is missing"),
+        ({"RRULE": "RRULE:FREQ=NOW"}, "line 8: RRULE: "),
+        ({"UID": "what is this"}, "line 5: what is this: not a content line"),
+    ],
+)
+def test_a_bad_calendar_is_refused_by_line_and_field(
+    changes: dict[str, str], text: str, config: str, tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    path = _calendar(tmp_path, **changes)
+    operator = tmp_path / "operator.yaml"
+    operator.write_text(f"quiet: {{calendar: {path}, most_cost: 2.0}}\n")
+    assert cli.main(["serve", "--operator", str(operator), "--config", config]) == 2
+    assert text in capsys.readouterr().err
+
+
+def test_a_calendar_that_goes_bad_leaves_the_last_good_one_in_force(tmp_path: Path) -> None:
+    now = [_at("Europe/Berlin", 2026, 5, 5, 2)]
+    path = _calendar(tmp_path)
+    times = QuietTimes(path, lambda: now[0])
+    assert times.current() is not None
+    Path(path).write_text("nonsense")
+    os.utime(path, (1, 1))
+    with pytest.raises(SettingsError):
+        read(path)
+    now[0] += 120 * SECOND
+    assert times.current() is not None
+    _calendar(tmp_path, "Asia/Tokyo")
+    os.utime(path, (2, 2))
+    now[0] += 120 * SECOND
+    assert times.current() is None  # it is nine there
+
+
+def test_no_more_is_spent_than_the_bound_however_often_the_owner_changes() -> None:
+    stored: list[StoredQuiet] = []
+
+    async def reserve(one: StoredQuiet) -> bool:
+        stored.append(one)
+        return True
+
+    async def story(loop: Loop) -> None:
+        spent, now = 0.0, 0
+        for _ in range(40):
+            allowance = QuietAllowance(2.0, reserve)
+            if stored:
+                allowance.load(stored[-1])
+            for _ in range(200):
+                now += SECOND
+                if allowance.begin(QuietTime(1, HOUR_US), now):
+                    await allowance.reserve_more()
+                spent += 3.0 / 3600 * allowance.keeps(3.0)
+        assert 0.5 < spent <= 2.0 + 1e-9
+
+    play(story)
+
+
+def test_idle_machines_stay_for_a_quiet_time_as_long_as_there_is_money(tmp_path: Path) -> None:
+    async def story(loop: Loop) -> None:
+        day = CALENDAR.format(zone="UTC").replace("T01", "T00").replace("T05", "T23")
+        path = tmp_path / "quiet.ics"
+        path.write_text(day.replace("2026", "2020"))
+        quiet = {"calendar": str(path), "most_cost": 0.02}  # 12 minutes of a spot machine
+        world = World(loop, operator={"quiet": quiet, **ON})
+        await world.start()
+        await world.submit(world.job(1, Pieces=3, RunS=3.0))
+        await world.until_done("req-000001")
+        held = len(world.cloud.machines)
+        await asyncio.sleep(200)  # without quiet times they go within 100 s
+        assert len(world.cloud.machines) == held
+        await world.until(lambda: not world.cloud.machines, seconds=900.0)  # long before 23:00
+        world.verdict()
+
+    play(story)
