--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -34,6 +34,7 @@
         self.accepting: Callable[[list[dict[str, Any]]], None] = lambda changes: None
         self.event = asyncio.Event()
         self.writes = 0
+        self.requests = 0
         self.value_bytes = 8 * 1024
         self.operations = 8  # puts and deletes in one transaction
         self.oversized: list[str] = []  # what was refused for its size
@@ -94,6 +95,7 @@
         await asyncio.sleep((rare if self.slowness > 1 else 0.002) * self.slowness)
         query = {k: v[0] for k, v in parse_qs(request.query).items()}
         path = request.path
+        self.requests += 1
         if path == "/changes":
             return await self._changes(query, PEER.get())
         if self.away(PEER.get()):
