A holder that the cloud does not answer hands its duties back

Cause: a controller that reached the state service but not the cloud kept renting, and nothing was rented until somebody stopped it.

Change: after 15 s without any answer it hands its duties of the cloud back, as a block is; a member without duties is given clean-up first, which needs no cloud. Outages are answered, and change nothing.

--- a/basaltlead/clients/cloud.py
+++ b/basaltlead/clients/cloud.py
@@ -4,6 +4,7 @@
 from urllib.parse import quote
 
 from basaltlead.clients.base import Budget, Unavailable, decode, encode
+from basaltlead.clock import now_us
 from basaltlead.net.http import Failed, Pool
 from basaltlead.wire.cloud import Hire, MachineType, Names, Page, Rented, Types
 
@@ -24,6 +25,7 @@
 
     def __init__(self, address: str, rps: float) -> None:
         self.pool = Pool(address, limit=6)
+        self.unanswered_since = 0  # since when no call got any answer; 0: the last one did
         self.use_rate(rps)
 
     def use_rate(self, rps: float) -> None:
@@ -34,7 +36,12 @@
         self, method: str, path: str, body: bytes = b"", still: Callable[[], bool] = lambda: True
     ) -> bytes:
         await self.budget.take()
-        status, answer = await self.pool.request(method, path, body, TIMEOUT_US, still)
+        try:
+            status, answer = await self.pool.request(method, path, body, TIMEOUT_US, still)
+        except Failed:
+            self.unanswered_since = self.unanswered_since or now_us()
+            raise
+        self.unanswered_since = 0
         if status == 503 and b"no capacity" in answer:
             raise NoCapacity
         if status in (429, 503):
--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -149,7 +149,9 @@
                 mine.setdefault(_kind_of(key), []).append(key)
         for kind, keys in mine.items():
             if len(keys) > 1 and self.members.keys() - holders[kind]:
-                return max(keys)
+                # Of duties the first by name is clean-up, which also a member can do that does
+                # not reach the cloud. The first block is what machines of no block fall to.
+                return min(keys) if keys[0].startswith(DUTY_PREFIX) else max(keys)
         return None
 
     @property
--- a/basaltlead/duties/coordinator.py
+++ b/basaltlead/duties/coordinator.py
@@ -4,9 +4,10 @@
 
 from basaltlead.clients.cloud import Cloud
 from basaltlead.clients.state import State
+from basaltlead.clock import now_us
 from basaltlead.duties.clean_up_duty import CleanUpDuty
 from basaltlead.duties.holder import DutyHolder
-from basaltlead.duties.model import CLOUD_SHARES, LEAST_CLOUD_SHARE, Duty
+from basaltlead.duties.model import CLOUD_PATIENCE_US, CLOUD_SHARES, LEAST_CLOUD_SHARE, Duty
 from basaltlead.duties.reclaim_duty import ReclaimDuty
 from basaltlead.duties.rent_duty import RentDuty
 from basaltlead.duties.return_duty import ReturnDuty
@@ -53,6 +54,7 @@
                     self.settings, self.member, self.state, self.cloud, *held
                 )
                 self.holders[duty].quiet_times = self.quiet_times
+                self.cloud.unanswered_since = 0  # it has its own time to find out
                 self.holders[duty].start()
         self._share_cloud()
 
@@ -68,12 +70,29 @@
 
     async def hand_back(self) -> None:
         """Give up duties of ours whose work has failed, for others to take."""
+        self._resign_without_cloud()
         for duty, holder in list(self.holders.items()):
             if holder.resigned and await self.member.step_down(duty.key, leader_too=False):
                 holder.stop()
                 self.holders.pop(duty, None)
                 self._share_cloud()
 
+    def _resign_without_cloud(self) -> None:
+        """While the cloud gives us no answer at all, others may reach it. Its outages are
+        answered (503), and no reason to change the holder."""
+        since = self.cloud.unanswered_since
+        if (
+            not since
+            or now_us() - since < CLOUD_PATIENCE_US
+            or len(self.member.cluster.members) < 2
+        ):
+            return
+        for duty in CLOUD_SHARES:
+            holder = self.holders.get(duty)
+            if holder is not None and not holder.resigned:
+                log.info("duty %s: the cloud gives no answer, handing it back", duty)
+                holder.resign()
+
     async def give_away(self, key: str) -> bool:
         """Hand back a duty that a member without any should have. False: it is none of ours."""
         for duty, holder in self.holders.items():
--- a/basaltlead/duties/model.py
+++ b/basaltlead/duties/model.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from basaltlead.core.leadership import duty_key
+from basaltlead.core.model import US
 from basaltlead.wire.state import Guard
 
 
@@ -27,6 +28,7 @@
 # each controller's, for the machine types and for a call that was under way when a duty moved.
 CLOUD_SHARES = {Duty.RENT: 0.5, Duty.RETURN: 0.2, Duty.RECLAIM: 0.15}
 LEAST_CLOUD_SHARE = 0.05
+CLOUD_PATIENCE_US = 15 * US  # a holder whose calls get no answer for so long lets another try
 
 
 class GrantHolder(Protocol):
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -291,6 +291,24 @@
     play(story)
 
 
+def test_a_holder_cut_off_from_the_cloud_alone_lets_another_try() -> None:
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        holder = world.holder(Duty.RENT)
+        assert holder is not None
+        world.net.cut(world.host(holder), FakeCloud.HOST)
+        await world.submit(world.job(1, Pieces=6, RunS=5.0))
+        await world.until(lambda: world.holder(Duty.RENT) not in (None, holder), seconds=40.0)
+        await world.until_done("req-000001", seconds=30.0)
+        moves = len(_events(world, "taken up"))
+        await asyncio.sleep(120)
+        assert len(_events(world, "taken up")) <= moves + 3  # it does not go to and fro
+        world.net.heal(world.host(holder), FakeCloud.HOST)
+        await _calm_end(world)
+
+    play(story)
+
+
 def test_a_late_transaction_of_a_holder_that_was_replaced_is_refused() -> None:
     async def story(loop: Loop) -> None:
         world = await _started(loop)
