Rows under a prefix are followed in one place; the story of refused calls is as strict as its guards

Need: four followers had the same three methods. The story of calls that the cloud refuses for good passed with the batch not halved, and with a refused request keeping its turn: one machine was left to refuse, and there were more turns than requests.

Change: follow_rows in watching.py; the story has a batch of several machines and one turn.

--- a/basaltlead/duties/rent_duty.py
+++ b/basaltlead/duties/rent_duty.py
@@ -12,8 +12,8 @@
 from basaltlead.duties.renting import MOST_REASON, Renting
 from basaltlead.logs import log
 from basaltlead.records import HIRE, StoredHire
-from basaltlead.watching import follow
-from basaltlead.wire.state import Change, Guard, Put, Row
+from basaltlead.watching import follow_rows
+from basaltlead.wire.state import Guard, Put
 
 MOST_REQUESTS = 6  # that are under way at once
 
@@ -29,21 +29,10 @@
         self.open: dict[str, asyncio.Task[None]] = {}
         self.settling: set[str] = set()
         self.turns = asyncio.Semaphore(MOST_REQUESTS)
-        await follow(self.state, HIRE, self.member.watch_ms, self._load, self._change)
+        await follow_rows(self.state, HIRE, self.member.watch_ms, self._put, self._drop)
 
-    def _load(self, rows: list[Row]) -> None:
-        for name in self.open.keys() - {row.key[len(HIRE) :] for row in rows}:
-            self._close(name)
-        for row in rows:
-            self._take(row.key[len(HIRE) :], row.value, row.version)
-
-    def _change(self, change: Change) -> None:
-        if change.put is not None:
-            self._take(change.put[len(HIRE) :], change.value, change.version)
-        elif change.drop is not None:
-            self._close(change.drop[len(HIRE) :])
-
-    def _take(self, name: str, raw: msgspec.Raw, version: int) -> None:
+    def _put(self, key: str, raw: msgspec.Raw, version: int) -> None:
+        name = key[len(HIRE) :]
         stored = msgspec.json.decode(raw, type=StoredHire)
         if stored.names is not None:
             self._close(name)
@@ -53,6 +42,9 @@
             work = self._carry_out(name, stored)
             self.open[name] = self.background.spawn(work, f"hire {name}")
 
+    def _drop(self, key: str) -> None:
+        self._close(key[len(HIRE) :])
+
     def _close(self, name: str) -> None:
         """Settled, by us or by somebody else."""
         self.versions.pop(name, None)
--- a/basaltlead/duties/return_duty.py
+++ b/basaltlead/duties/return_duty.py
@@ -15,8 +15,8 @@
 from basaltlead.events import wait_for_event
 from basaltlead.logs import log
 from basaltlead.records import MACHINE, RETURN, StoredReturn
-from basaltlead.watching import follow
-from basaltlead.wire.state import Change, Drop, Guard, Put, Row
+from basaltlead.watching import follow_rows
+from basaltlead.wire.state import Drop, Guard, Put
 
 PAUSE_S = 0.5  # between two looks, should nothing have changed
 
@@ -40,21 +40,9 @@
         self.open: dict[str, OpenReturn] = {}
         self.wake = asyncio.Event()
         self.background.spawn(self._work(), "loop return")
-        await follow(self.state, RETURN, self.member.watch_ms, self._load, self._change)
+        await follow_rows(self.state, RETURN, self.member.watch_ms, self._put, self._drop)
 
-    def _load(self, rows: list[Row]) -> None:
-        for key in self.open.keys() - {row.key for row in rows}:
-            del self.open[key]
-        for row in rows:
-            self._take(row.key, row.value, row.version)
-
-    def _change(self, change: Change) -> None:
-        if change.put is not None:
-            self._take(change.put, change.value, change.version)
-        elif change.drop is not None:
-            self.open.pop(change.drop, None)
-
-    def _take(self, key: str, raw: msgspec.Raw, version: int) -> None:
+    def _put(self, key: str, raw: msgspec.Raw, version: int) -> None:
         known = self.open.get(key)
         if known is not None:
             known.version = max(known.version, version)
@@ -63,6 +51,9 @@
         self.open[key] = OpenReturn(stored, version, list(stored.names))
         self.wake.set()
 
+    def _drop(self, key: str) -> None:
+        self.open.pop(key, None)
+
     async def _work(self) -> None:
         backoff = Backoff(500_000, 4_000_000, self.member.chance)
         while True:
--- a/basaltlead/machine_returns.py
+++ b/basaltlead/machine_returns.py
@@ -18,8 +18,8 @@
 from basaltlead.quiet_keeping import QuietKeeping
 from basaltlead.reachability import Reachability
 from basaltlead.records import MACHINE, RETURN, StoredReturn
-from basaltlead.watching import follow
-from basaltlead.wire.state import Change, Drop, Guard, Put, Row
+from basaltlead.watching import follow_rows
+from basaltlead.wire.state import Drop, Guard, Put
 
 MINIMUM_US = 60 * US  # what a machine costs at least
 PAUSE_S = 0.3  # between two looks for machines that are to go
@@ -205,19 +205,11 @@
 
     async def _follow(self) -> None:
         state, watch_ms = self.owner.state, self.owner.member.watch_ms
-        await follow(state, RETURN, watch_ms, self._load, self._change)
-
-    def _load(self, rows: list[Row]) -> None:
-        for key in self.owner.returns.keys() - {row.key for row in rows}:
-            self._settled(key)
-        for row in rows:
-            self._note(row.key, msgspec.json.decode(row.value, type=StoredReturn))
-
-    def _change(self, change: Change) -> None:
-        if change.put is not None:
-            self._note(change.put, msgspec.json.decode(change.value, type=StoredReturn))
-        elif change.drop is not None:
-            self._settled(change.drop)
+        known = list(self.owner.returns)
+        await follow_rows(state, RETURN, watch_ms, self._put, self._settled, known)
+
+    def _put(self, key: str, raw: msgspec.Raw, version: int) -> None:
+        self._note(key, msgspec.json.decode(raw, type=StoredReturn))
 
     def _note(self, key: str, stored: StoredReturn) -> None:
         """Recorded, by us or by whoever reclaims: nothing may start there any more."""
--- a/basaltlead/rental_requests.py
+++ b/basaltlead/rental_requests.py
@@ -15,8 +15,8 @@
 from basaltlead.logs import log
 from basaltlead.owner import Owner, placeholder_kind
 from basaltlead.records import HIRE, StoredHire
-from basaltlead.watching import follow
-from basaltlead.wire.state import Change, Drop, Guard, Put, Row
+from basaltlead.watching import follow_rows
+from basaltlead.wire.state import Drop, Guard, Put
 
 MOST_IN_HIRE = 50  # the cloud rents that many at once
 HIRE_BYTES, NAME_BYTES = 256, 32  # what a hire's record takes, and each of its machines' names
@@ -170,21 +170,11 @@
 
     async def _follow(self) -> None:
         state, watch_ms = self.owner.state, self.owner.member.watch_ms
-        await follow(state, HIRE, watch_ms, self._load, self._change)
+        known = [HIRE + name for name in self.owner.hires]
+        await follow_rows(state, HIRE, watch_ms, self._put, self._dropped, known)
 
-    def _load(self, rows: list[Row]) -> None:
-        for name in self.owner.hires.keys() - {row.key[len(HIRE) :] for row in rows}:
-            self._dropped(name)
-        for row in rows:
-            self._put(row.key[len(HIRE) :], row.value, row.version)
-
-    def _change(self, change: Change) -> None:
-        if change.put is not None:
-            self._put(change.put[len(HIRE) :], change.value, change.version)
-        elif change.drop is not None:
-            self._dropped(change.drop[len(HIRE) :])
-
-    def _put(self, name: str, raw: msgspec.Raw, version: int) -> None:
+    def _put(self, key: str, raw: msgspec.Raw, version: int) -> None:
+        name = key[len(HIRE) :]
         stored = msgspec.json.decode(raw, type=StoredHire)
         if stored.block != self.owner.number or name in self.carrying:
             return
@@ -202,7 +192,8 @@
         elif name not in self.pending:
             self._await_machines(name, stored)
 
-    def _dropped(self, name: str) -> None:
+    def _dropped(self, key: str) -> None:
+        name = key[len(HIRE) :]
         if name in self.carrying:
             return
         self.owner.versions.pop(HIRE + name, None)
--- a/basaltlead/watching.py
+++ b/basaltlead/watching.py
@@ -1,6 +1,8 @@
 """Keeping a picture of the keys under a prefix like the state service has them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from basaltlead.clients.base import Backoff
 from basaltlead.clients.state import TROUBLE, State, TooOld
@@ -40,3 +42,34 @@
         except TROUBLE as fault:
             log.debug("following %s: %s", prefix, fault)
             await backoff.rest()
+
+
+async def follow_rows(
+    state: State,
+    prefix: str,
+    hold_ms: int,
+    put: Callable[[str, msgspec.Raw, int], None],
+    drop: Callable[[str], None],
+    known: Iterable[str] = (),
+) -> None:
+    """The same, row by row: `put` gets key, value and version of each that is there or changes,
+    and `drop` the key of each that is gone, also of those that were `known` before."""
+    keys = set(known)
+
+    def load(rows: list[Row]) -> None:
+        for key in keys - {row.key for row in rows}:
+            drop(key)
+        keys.clear()
+        for row in rows:
+            keys.add(row.key)
+            put(row.key, row.value, row.version)
+
+    def take(change: Change) -> None:
+        if change.put is not None:
+            keys.add(change.put)
+            put(change.put, change.value, change.version)
+        elif change.drop is not None:
+            keys.discard(change.drop)
+            drop(change.drop)
+
+    await follow(state, prefix, hold_ms, load, take)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -455,7 +455,11 @@
     play(story)
 
 
-def test_what_the_cloud_refuses_for_good_is_shown_and_holds_up_nothing_else() -> None:
+def test_what_the_cloud_refuses_for_good_is_shown_and_holds_up_nothing_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("basaltlead.duties.rent_duty.MOST_REQUESTS", 1)
+
     async def story(loop: Loop) -> None:
         world = await _started(loop)
         world.cloud.refusing.add("large")
@@ -469,8 +473,20 @@
         assert len(offers) == len(set(offers))  # none is asked for twice: so there are few
         world.cloud.refusing.clear()
         await world.until_done("req-000001", seconds=120.0)
+        await world.submit(world.job(3, Pieces=5, RunS=20.0, Cores=4.0, Grades=["small"]))
+        await world.until_done("req-000003")
+        world.cloud.trouble = 503  # until they all are to go, in one batch
+        await world.until(
+            lambda: (
+                sum(len(world.state.keys[k][0]["names"]) for k in _open(world, "return/"))
+                == len(world.cloud.machines)
+                > 2
+            ),
+            seconds=200.0,
+        )
         victim = next(iter(world.cloud.machines))
         world.cloud.refusing.add(victim)
+        world.cloud.trouble = 0
         await world.until(lambda: set(world.cloud.machines) == {victim}, seconds=200.0)
         await world.until(lambda: bool(_events(world, "refused")))
         world.cloud.refusing.clear()
