Two stories of duties made as strict as their guards

Cause: with the loading of returns taken out of a new owner, and with failed machines left alone by the duty of reclaiming, all stories passed: the watch, and the owner's own patience, came soon enough.

Change: one story looks at what a new owner knows before it does anything, the other fails a machine that is still booting, for which the owner would wait longer.

Result: both fail now without the guard, and pass with it.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -333,7 +333,19 @@
     play(story)
 
 
-def test_a_new_owner_starts_nothing_on_a_machine_that_is_to_go() -> None:
+def test_a_new_owner_starts_nothing_on_a_machine_that_is_to_go(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    at_first: list[set[str]] = []  # what each owner knows to be going before it does anything
+    start = MachineReturns.start
+
+    def noting_start(returns: MachineReturns) -> None:
+        machines = returns.owner.block.machines.values()
+        at_first.append({machine.name for machine in machines if machine.deleting})
+        start(returns)
+
+    monkeypatch.setattr(MachineReturns, "start", noting_start)
+
     async def story(loop: Loop) -> None:
         world = await _started(loop)
         await world.submit(world.job(1, Pieces=3, RunS=3.0))
@@ -352,6 +364,7 @@
             await asyncio.sleep(0.1)
             assert not {worker.name for worker in world.rule_checker.on.values()} & going
         assert going <= set(world.cloud.machines)
+        assert at_first[-1] == going
         world.boot(owner)
         await _calm_end(world)
 
@@ -544,6 +557,14 @@
         failed = next(iter(world.cloud.machines.values()))
         failed.failed = True
         failed.hung = True
+        await world.submit(world.job(2, Pieces=1, RunS=3.0, Cores=8.0))
+        await world.until(lambda: any(not m.up for m in world.cloud.machines.values()))
+        booting = next(m for m in world.cloud.machines.values() if not m.up)
+        booting.failed = True
+        booting.work.cancel()
+        # Its owner would wait for it for another 17 s: the list tells sooner.
+        await world.until(lambda: booting.name not in world.cloud.machines, seconds=14.0)
+        assert _events(world, "to be returned")
         await world.until(lambda: failed.name not in world.cloud.machines, seconds=60.0)
         await world.until(lambda: not _open(world, "return/"))
         assert f"mach/{failed.name}" not in world.state.keys
