What is granted again before a hand-back is answered keeps its holder

Cause: handing a block or duty back took whatever stood in its place by then out of the controller's hands. If the answer came late, that was the new holder: the grant stood, and nobody acted on it.

Change: only the holder that was handed back is taken out.

Result: a story with both, which fails without either check.

--- a/basaltlead/duties/coordinator.py
+++ b/basaltlead/duties/coordinator.py
@@ -74,7 +74,8 @@
         for duty, holder in list(self.holders.items()):
             if holder.resigned and await self.member.step_down(duty.key, leader_too=False):
                 holder.stop()
-                self.holders.pop(duty, None)
+                if self.holders.get(duty) is holder:  # else it was granted to us anew meanwhile
+                    del self.holders[duty]
                 self._share_cloud()
 
     def _resign_without_cloud(self) -> None:
--- a/basaltlead/node.py
+++ b/basaltlead/node.py
@@ -225,7 +225,8 @@
     async def _hand_back(self, number: int, owner: Owner, leader_too: bool) -> None:
         if await self.member.step_down(block_key(number), leader_too):
             owner.stop()
-            self.owners.pop(number, None)
+            if self.owners.get(number) is owner:  # else it was granted to us anew meanwhile
+                del self.owners[number]
 
     def _unreachable(self, owner: Owner) -> bool:
         """All machines silent at once while other members live: more likely our own links."""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -190,6 +190,34 @@
     play(story)
 
 
+def test_what_is_granted_again_before_a_hand_back_is_answered_is_kept() -> None:
+    """Only the holder that was handed back ends: the next one may be there already."""
+
+    async def story(loop: Loop) -> None:
+        world = await _started(loop)
+        name = world.holder(Duty.RETURN)
+        assert name is not None
+        for other in world.nodes:  # so that all that it hands back comes back
+            if other != name:
+                world.crash(other)
+        await world.until(lambda: world.holder(Duty.RENT) == name == world.owner(), seconds=15.0)
+        node = world.parts[name]
+        step_down = node.member.step_down
+
+        async def answered_late(key: str, leader_too: bool) -> bool:
+            done: bool = await step_down(key, leader_too)
+            await asyncio.sleep(5)
+            return done
+
+        node.member.step_down = answered_late
+        node.duties.holders[Duty.RETURN].resign()
+        node.owners[0].resigned = True
+        await asyncio.sleep(15)
+        assert world.holder(Duty.RETURN) == name == world.owner()
+
+    play(story)
+
+
 @pytest.mark.parametrize(("wall", "steady"), [(3600, 0), (-3600, 0), (0, 3600)])
 def test_clocks_that_jump_on_one_host_make_no_stale_holder(wall: float, steady: float) -> None:
     async def story(loop: Loop) -> None:
