A takeover reads the recorded returns beside the jobs, not after them

The one thing that duties add while they are off is a read at a takeover.

Change: that read goes beside the one of the open jobs.

--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -194,12 +194,14 @@
     async def _load(self) -> int:
         block = self.block
         asked = now_us()
-        rows, revision = await self.state.rows(OPEN)
+        # Returns beside the jobs, so that they cost a takeover no time, and before the machines:
+        # one that is returned meanwhile stands in neither or in both.
+        (rows, revision), (returns, _) = await asyncio.gather(
+            self.state.rows(OPEN), self.state.rows(RETURN)
+        )
         for row in rows:
             self._take_open(row.key, row.value, row.version, now_us())
         self.cancellations_read_at = asked
-        # Before the machines: one that is returned meanwhile stands in neither or in both.
-        returns, _ = await self.state.rows(RETURN)
         for row in returns:
             self.note_return(row.key, msgspec.json.decode(row.value, type=StoredReturn))
         machines, _ = await self.state.rows(MACHINE)
