The story of a late write of results names the machine type that it needs

Which of two types was hired first was a tie that any change of timing decides; on the small one 40 tasks end while the story looks, and it asks for more than 40.

Change: the job asks for the type that the story always had. All its assertions stand.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -473,7 +473,9 @@
         world = World(loop)
         world.cloud.capacity = 1
         await world.start()
-        await world.submit(world.job(1, Pieces=400, Cores=1.0, RunS=2.0))
+        # On the large type: on the small one fewer than 40 tasks end while we look.
+        job = world.job(1, Pieces=400, Cores=1.0, RunS=2.0, Grades=["large"])
+        await world.submit(job)
         await world.until(lambda: len(world.rule_checker.results) >= 16)
         # From now on writes of results go unanswered, and are carried out much later.
         world.state.late_writes, world.state.late_keys = 1.0, "open/req-000001/"
