Duties read once more: what the tree already had is called instead of written again

Cause: the answers to operators decoded members and compared versions themselves, beside upgrade.duties_allowed and Cluster.holder; two duties divided keys into transactions by hand, beside StoreLimits.drops; a set of machines to be returned was kept beside the returns that it follows from; clean-up decoded each request twice and looked each up in a list; placeholders of a request were made twice; what a call to the cloud may end in was listed in three places.

Change: Cluster.put reads the rows for membership and for reports; drops leaves room for other changes; the set is derived; the rest is done once. Reading what is reserved for a quiet time rests between tries now: while the state service refused, it asked again without a pause.

--- a/basaltlead/autoscaler.py
+++ b/basaltlead/autoscaler.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from basaltlead.clients.base import Unavailable
-from basaltlead.clients.cloud import Cloud, NoCapacity
+from basaltlead.clients.cloud import CLOUD_TROUBLE, Cloud
 from basaltlead.clock import now_us
 from basaltlead.core import demand, fleet
 from basaltlead.core.fleet import Demand, Offer, OfferBook, WarmSpare
@@ -13,7 +12,6 @@
 from basaltlead.duties.abandoned import FAILED
 from basaltlead.logs import log
 from basaltlead.machine_returns import MachineReturns, overdue
-from basaltlead.net.http import Failed
 from basaltlead.owner import Owner, placeholder_kind
 from basaltlead.reachability import Reachability
 from basaltlead.rental_requests import RentalRequests
@@ -176,7 +174,7 @@
                 continue
             try:
                 rented = await self.cloud.machines()
-            except (Failed, Unavailable, NoCapacity) as fault:
+            except CLOUD_TROUBLE as fault:
                 log.info("machine list: %s", fault)
                 continue
             self._compare(rented, now_us())
--- a/basaltlead/clients/cloud.py
+++ b/basaltlead/clients/cloud.py
@@ -20,6 +20,10 @@
     """The cloud says that the request is wrong: the same one will be refused again."""
 
 
+# What a call may end in, short of an answer.
+CLOUD_TROUBLE = (Failed, Unavailable, NoCapacity)
+
+
 class Cloud:
     """Calls to the cloud, inside this node's part of its rate."""
 
--- a/basaltlead/core/leadership.py
+++ b/basaltlead/core/leadership.py
@@ -8,21 +8,24 @@
 
 from collections.abc import Iterable
 
+import msgspec
 from msgspec import UNSET, Struct, UnsetType
 
 PREFIX = "c/"
 LEADER = "c/leader"
+MEMBER_PREFIX = "c/member/"
+LOAD_PREFIX = "c/load/"
 FENCING_TOKEN = "c/baton"
 
 
 def member_key(name: str) -> str:
     """The key that stands for as long as a controller's session lease."""
-    return f"c/member/{name}"
+    return f"{MEMBER_PREFIX}{name}"
 
 
 def load_key(block: int) -> str:
     """The key under which a block's owner tells its load."""
-    return f"c/load/{block}"
+    return f"{LOAD_PREFIX}{block}"
 
 
 BLOCK_PREFIX = "c/block/"
@@ -97,6 +100,28 @@
         self.fencing_token: tuple[Counter, int] | None = None
         self.loads: dict[int, Load] = {}
 
+    def put(self, key: str, raw: msgspec.Raw, version: int) -> None:
+        """Take in a row. What was told late changes nothing. Raises if it can't be read."""
+        if key == LEADER:
+            self.leader = (msgspec.json.decode(raw, type=Claim), version)
+        elif key == FENCING_TOKEN:
+            self.fencing_token = (msgspec.json.decode(raw, type=Counter), version)
+        elif key.startswith(MEMBER_PREFIX):
+            name = key.removeprefix(MEMBER_PREFIX)
+            if self.member_version(name) <= version:
+                self.members[name] = (msgspec.json.decode(raw, type=Claim), version)
+        elif key.startswith(LOAD_PREFIX):
+            block = int(key.removeprefix(LOAD_PREFIX))
+            self.loads[block] = msgspec.json.decode(raw, type=Load)
+        elif is_grant_key(key):
+            self.note_grant(key, msgspec.json.decode(raw, type=Grant), version)
+
+    def note_grant(self, key: str, grant: Grant, version: int) -> None:
+        """Take in a grant. The answer to our own write and the watch tell the same in any order."""
+        known = self.grants.get(key)
+        if known is None or known[1] <= version:
+            self.grants[key] = (grant, version)
+
     def lives(self, name: str, incarnation: str) -> bool:
         member = self.members.get(name)
         return member is not None and member[0].incarnation == incarnation
--- a/basaltlead/duties/clean_up_duty.py
+++ b/basaltlead/duties/clean_up_duty.py
@@ -24,16 +24,11 @@
 KEEP_US = 1800 * US
 
 
-def spent(hires: Iterable[Row], recorded: set[str]) -> list[Row]:
-    """Requests that brought machines of which each has stood recorded since, and old ones."""
-    out: list[Row] = []
-    for row in hires:
-        hire = msgspec.json.decode(row.value, type=StoredHire)
-        if hire.names is None:
-            continue
-        if recorded.issuperset(hire.names) or age_us(hire.at) > KEEP_US:
-            out.append(row)
-    return out
+def spent(hire: StoredHire, recorded: set[str]) -> bool:
+    """Has each of the machines that a request brought stood recorded since, or is it old?"""
+    if hire.names is None:
+        return False
+    return recorded.issuperset(hire.names) or age_us(hire.at) > KEEP_US
 
 
 def orphaned(rows: Iterable[Row]) -> dict[str, list[str]]:
@@ -68,20 +63,16 @@
                 log.info("clean-up: %s", fault)
 
     async def _drop_spent(self) -> None:
-        hires, _ = await self.state.rows(HIRE)
-        if not hires:
+        rows, _ = await self.state.rows(HIRE)
+        if not rows:
             return
         machines, _ = await self.state.rows(MACHINE)
         self.recorded |= {row.key[len(MACHINE) :] for row in machines}
-        gone = spent(hires, self.recorded)
-        names = [
-            name
-            for row in hires
-            if row not in gone
-            for name in msgspec.json.decode(row.value, type=StoredHire).names or ()
-        ]
-        self.recorded &= set(names)
-        await self._drop("spent requests", [row.key for row in gone], [])
+        hires = {row.key: msgspec.json.decode(row.value, type=StoredHire) for row in rows}
+        gone = [key for key, hire in hires.items() if spent(hire, self.recorded)]
+        kept = [hire for key, hire in hires.items() if key not in gone]
+        self.recorded &= {name for hire in kept for name in hire.names or ()}
+        await self._drop("spent requests", gone, [])
 
     async def _drop_orphans(self) -> None:
         rows, _ = await self.state.rows(OPEN)
@@ -90,9 +81,7 @@
             await self._drop(f"results of {ref}", keys, [Guard(OPEN + ref, 0)])
 
     async def _drop(self, what: str, keys: list[str], guards: list[Guard]) -> None:
-        most = self.state.limits.operations - 1  # and the page of history
-        for low in range(0, len(keys), most):
-            some = keys[low : low + most]
+        for some in self.state.limits.drops(keys, beside=1):  # the page of history
             told = event(what)
             told.count = len(some)
             await self.history.commit(guards, list(map(Drop, some)), told, can_wait=True)
--- a/basaltlead/duties/reports.py
+++ b/basaltlead/duties/reports.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from basaltlead.clients.state import TROUBLE, State
-from basaltlead.core.leadership import PREFIX, Claim, Grant, member_key
+from basaltlead.core.leadership import PREFIX, Cluster
 from basaltlead.duties.model import Duty
 from basaltlead.membership import Membership
 from basaltlead.records import HIRE, HISTORY, RETURN, StoredHire, StoredReturn
-from basaltlead.upgrade import DUTIES
+from basaltlead.upgrade import duties_allowed
 from basaltlead.wire.peers import (
     Answer,
     DutiesAnswer,
@@ -34,25 +34,25 @@
 
     async def answer(self, question: Question) -> Answer:
         """The answer to any question."""
-        unknown = ""
+        blank = DutiesAnswer if isinstance(question, DutiesQuestion) else HistoryAnswer
         if self.member.cut_off:
-            unknown = "the state service does not answer"
+            return blank("the state service does not answer")
         try:
             if isinstance(question, DutiesQuestion):
-                return DutiesAnswer(unknown) if unknown else await self._duties()
-            return HistoryAnswer(unknown) if unknown else await self._page(question.after)
+                return await self._duties()
+            return await self._page(question.after)
         except TROUBLE as fault:
-            unknown = str(fault)
-        is_duties = isinstance(question, DutiesQuestion)
-        return DutiesAnswer(unknown) if is_duties else HistoryAnswer(unknown)
+            return blank(str(fault))
 
     async def _duties(self) -> DutiesAnswer:
-        cluster = {row.key: row for row in (await self.state.rows(PREFIX))[0]}
+        cluster = Cluster()
+        for row in (await self.state.rows(PREFIX))[0]:
+            cluster.put(row.key, row.value, row.version)
         hires, _ = await self.state.rows(HIRE)
         returns, _ = await self.state.rows(RETURN)
         intents = sorted([*_open_hires(hires), *_open_returns(returns)], key=lambda one: one.since)
         return DutiesAnswer(
-            granted=_granted(cluster.values()),
+            granted=duties_allowed(cluster),
             duties=[_held(cluster, duty) for duty in Duty],
             intents=intents[:MOST_INTENTS],
             open_count=len(intents),
@@ -65,24 +65,16 @@
         return HistoryAnswer(key=page.rows[0].key, page=page.rows[0].value)
 
 
-def _granted(rows: Iterable[Row]) -> bool:
-    members = [r for r in rows if r.key.startswith(member_key(""))]
-    versions = [msgspec.json.decode(row.value, type=Claim).version for row in members]
-    return bool(versions) and min(versions) >= DUTIES
-
-
-def _held(cluster: dict[str, Row], duty: Duty) -> HeldDuty:
-    row = cluster.get(duty.key)
-    if row is None:
+def _held(cluster: Cluster, duty: Duty) -> HeldDuty:
+    held = cluster.grants.get(duty.key)
+    if held is None:
         return HeldDuty(duty, "", 0, 0)
-    grant = msgspec.json.decode(row.value, type=Grant)
-    member = cluster.get(member_key(grant.name))
-    lives = (
-        member is not None
-        and msgspec.json.decode(member.value, type=Claim).incarnation == grant.incarnation
-    )
+    grant, _ = held
+    holder = cluster.holder(duty.key)
+    if holder is None:
+        return HeldDuty(duty, "", grant.fencing_token, 0)
     since = grant.granted_at if isinstance(grant.granted_at, int) else 0
-    return HeldDuty(duty, grant.name if lives else "", grant.fencing_token, since if lives else 0)
+    return HeldDuty(duty, holder, grant.fencing_token, since)
 
 
 def _open_hires(rows: Iterable[Row]) -> Iterable[OpenIntent]:
--- a/basaltlead/duties/return_duty.py
+++ b/basaltlead/duties/return_duty.py
@@ -6,12 +6,13 @@
 from msgspec import Struct
 
 from basaltlead.clients.base import Backoff
+from basaltlead.clients.cloud import CLOUD_TROUBLE
 from basaltlead.clients.state import TROUBLE
 from basaltlead.clock import now_us
 from basaltlead.duties.history import event
 from basaltlead.duties.holder import DutyHolder
 from basaltlead.duties.model import Duty
-from basaltlead.duties.returning import CLOUD_TROUBLE, MOST_NAMES, Returning
+from basaltlead.duties.returning import MOST_NAMES, Returning
 from basaltlead.events import wait_for_event
 from basaltlead.logs import log
 from basaltlead.records import MACHINE, RETURN, StoredReturn
@@ -92,14 +93,14 @@
             return
         guard = Guard(key, one.version)
         records = [MACHINE + name for name in one.stored.names]
-        most = self.state.limits.operations - 2  # the return itself and the page of history
+        # With the last of them go the return itself and the page of history.
+        *batches, last = list(self.state.limits.drops(records, beside=2)) or [[]]
         told = event("returned", key[len(RETURN) :], one.stored.at, one.stored.names)
         try:
-            while len(records) > most:
-                some, records = records[:most], records[most:]
+            for some in batches:
                 drops = list(map(Drop, some))
                 await self.state.multi([*self.guards(), guard], drops, can_wait=True)
-            await self.history.commit([guard], [*map(Drop, records), Drop(key)], told, True)
+            await self.history.commit([guard], [*map(Drop, last), Drop(key)], told, True)
         except TROUBLE as fault:
             log.info("return %s not settled: %s", key, fault)
             await asyncio.sleep(0.2)
--- a/basaltlead/duties/returning.py
+++ b/basaltlead/duties/returning.py
@@ -1,10 +1,8 @@
 """Deleting machines in the cloud, so that one that it refuses holds up no other."""
 
-from basaltlead.clients.base import Unavailable
-from basaltlead.clients.cloud import Cloud, NoCapacity, Refused
+from basaltlead.clients.cloud import Cloud, Refused
 from basaltlead.duties.model import GrantHolder
 from basaltlead.logs import log
-from basaltlead.net.http import Failed
 
 MOST_NAMES = 100  # the cloud deletes that many at once
 REFUSED_PAUSE_US = 60_000_000  # before a machine that the cloud won't delete is tried again
@@ -43,6 +41,3 @@
         for name in names:
             self.refused.pop(name, None)
         return names
-
-
-CLOUD_TROUBLE = (Failed, Unavailable, NoCapacity)
--- a/basaltlead/leading.py
+++ b/basaltlead/leading.py
@@ -133,7 +133,7 @@
             guards, [Put(FENCING_TOKEN, Counter(grant.fencing_token)), Put(key, grant)]
         )
         cluster.fencing_token = (Counter(grant.fencing_token), version)
-        self.member.note_grant(key, grant, version)
+        cluster.note_grant(key, grant, version)
         log.info(
             "%s leased to %s with fencing token %d", spoken(key), grant.name, grant.fencing_token
         )
--- a/basaltlead/machine_returns.py
+++ b/basaltlead/machine_returns.py
@@ -6,12 +6,12 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable
-from basaltlead.clients.cloud import Cloud
+from basaltlead.clients.cloud import CLOUD_TROUBLE, Cloud
 from basaltlead.clients.state import Conflict, SessionLeaseExpired
 from basaltlead.clock import now_us, wall_us
 from basaltlead.core import fleet
 from basaltlead.core.model import US, Machine
-from basaltlead.duties.returning import CLOUD_TROUBLE, MOST_NAMES, Returning
+from basaltlead.duties.returning import MOST_NAMES, Returning
 from basaltlead.logs import log
 from basaltlead.net.http import Failed
 from basaltlead.owner import Owner
@@ -132,7 +132,8 @@
             limits.guards - GUARDS_BESIDE,
             (limits.value_bytes - RETURN_BYTES) // NAME_BYTES,
         )
-        names = [name for name in names if name not in self.owner.returning][: max(1, most)]
+        recorded = self.owner.returning
+        names = [name for name in names if name not in recorded][: max(1, most)]
         if not names:
             return
         self.sequence += 1
@@ -173,7 +174,7 @@
             key for key, one in self.owner.returns.items() if not machines.keys() & set(one.names)
         ]
         for key in done:
-            self.owner.forget_return(key)
+            self.owner.returns.pop(key, None)
         # Their records wait for their turn among the writes; other machines do not.
         self.owner.spawn(self._forget([*recorded, *done]), "forget machines")
 
@@ -213,7 +214,7 @@
 
     def _note(self, key: str, stored: StoredReturn) -> None:
         """Recorded, by us or by whoever reclaims: nothing may start there any more."""
-        self.owner.note_return(key, stored)
+        self.owner.returns[key] = stored
         for name in stored.names:
             machine = self.owner.block.machines.get(name)
             if machine is not None:
@@ -221,7 +222,7 @@
 
     def _settled(self, key: str) -> None:
         """The machines of a return are gone."""
-        stored = self.owner.forget_return(key)
+        stored = self.owner.returns.pop(key, None)
         for name in stored.names if stored is not None else ():
             if name in self.owner.block.machines:
                 self._gone(name)
--- a/basaltlead/machine_types.py
+++ b/basaltlead/machine_types.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basaltlead.clients.base import Backoff, Unavailable, encode
-from basaltlead.clients.cloud import Cloud, NoCapacity
+from basaltlead.clients.cloud import CLOUD_TROUBLE, Cloud
 from basaltlead.clients.state import TROUBLE, State
 from basaltlead.core.model import Kind
 from basaltlead.logs import log
@@ -68,7 +68,7 @@
                 backoff.reset()
                 await self._store(types)
                 await asyncio.sleep(OWNER_PAUSE_S if self.owns() else STANDBY_PAUSE_S)
-            except (Failed, Unavailable, NoCapacity) as fault:
+            except CLOUD_TROUBLE as fault:
                 log.info("machine types: %s", fault)
                 await self._load()
                 await backoff.rest()
--- a/basaltlead/membership.py
+++ b/basaltlead/membership.py
@@ -11,16 +11,13 @@
 from basaltlead.clock import chance, now_us
 from basaltlead.core import leadership
 from basaltlead.core.leadership import (
-    FENCING_TOKEN,
     LEADER,
+    MEMBER_PREFIX,
     PREFIX,
     Claim,
     Cluster,
-    Counter,
     Grant,
-    Load,
     block_key,
-    is_grant_key,
     member_key,
     spoken,
 )  # fmt: skip
@@ -234,36 +231,17 @@
 
     def _put(self, key: str, raw: msgspec.Raw, version: int) -> None:
         try:
-            if key == LEADER:
-                self.cluster.leader = (msgspec.json.decode(raw, type=Claim), version)
-            elif key == FENCING_TOKEN:
-                self.cluster.fencing_token = (msgspec.json.decode(raw, type=Counter), version)
-            elif key.startswith("c/member/"):
-                name = key.removeprefix("c/member/")
-                known = self.cluster.members.get(name)
-                if known is None or known[1] <= version:
-                    self.cluster.members[name] = (msgspec.json.decode(raw, type=Claim), version)
-            elif key.startswith("c/load/"):
-                load = msgspec.json.decode(raw, type=Load)
-                self.cluster.loads[int(key.removeprefix("c/load/"))] = load
-            elif is_grant_key(key):
-                self.note_grant(key, msgspec.json.decode(raw, type=Grant), version)
+            self.cluster.put(key, raw, version)
         except (msgspec.DecodeError, ValueError) as fault:
             log.error("record %s can't be read: %s", key, fault)
 
-    def note_grant(self, key: str, grant: Grant, version: int) -> None:
-        """Take in a grant. The answer to our own write and the watch tell the same in any order."""
-        known = self.cluster.grants.get(key)
-        if known is None or known[1] <= version:
-            self.cluster.grants[key] = (grant, version)
-
     def _drop(self, key: str, version: int) -> None:
         if key == LEADER:
             self.cluster.leader = None
-        elif key.startswith("c/member/"):
-            known = self.cluster.members.get(key.removeprefix("c/member/"))
+        elif key.startswith(MEMBER_PREFIX):
+            known = self.cluster.members.get(key.removeprefix(MEMBER_PREFIX))
             if known is not None and known[1] <= version:
-                del self.cluster.members[key.removeprefix("c/member/")]
+                del self.cluster.members[key.removeprefix(MEMBER_PREFIX)]
 
     async def step_down(self, key: str, leader_too: bool) -> bool:
         """Hand a block or duty back, and the leader's place if so wished, for others to take; the
@@ -284,6 +262,6 @@
         except TROUBLE as fault:
             log.info("stepping down: %s", fault)
             return False
-        self.note_grant(key, free, version)
+        self.cluster.note_grant(key, free, version)
         log.info("%s handed back", spoken(key))
         return True
--- a/basaltlead/owner.py
+++ b/basaltlead/owner.py
@@ -96,7 +96,6 @@
         self.cancellations_read_at: int | None = None
         self.hires: dict[str, StoredHire] = {}
         self.returns: dict[str, StoredReturn] = {}  # recorded and not carried out
-        self.returning: set[str] = set()  # the machines of those
         self.versions: dict[str, int] = {}  # of rows that we write more than once
         self.limits = settings.store_limits
         self.layout = ResultLayout(self.limits.value_bytes)
@@ -203,7 +202,8 @@
             self._take_open(row.key, row.value, row.version, now_us())
         self.cancellations_read_at = asked
         for row in returns:
-            self.note_return(row.key, msgspec.json.decode(row.value, type=StoredReturn))
+            self.returns[row.key] = msgspec.json.decode(row.value, type=StoredReturn)
+        returning = self.returning
         machines, _ = await self.state.rows(MACHINE)
         hires, _ = await self.state.rows(HIRE)
         teams, _ = await self.state.rows(TEAM)
@@ -220,7 +220,7 @@
             machine.address = stored.address
             machine.made_at = now - age_us(stored.at)
             machine.answered_at = self.early.get(machine.name, block.took_at)
-            machine.deleting = machine.name in self.returning
+            machine.deleting = machine.name in returning
             self.versions[row.key] = row.version
             block.load_machine(machine)
         for row in hires:
@@ -240,18 +240,10 @@
         )  # fmt: skip
         return revision
 
-    def note_return(self, key: str, stored: StoredReturn) -> None:
-        """Machines are recorded as to be returned: nothing may start on them from now on."""
-        self.returns[key] = stored
-        self.returning.update(stored.names)
-
-    def forget_return(self, key: str) -> StoredReturn | None:
-        """Those machines are gone."""
-        stored = self.returns.pop(key, None)
-        if stored is not None:
-            others = {name for one in self.returns.values() for name in one.names}
-            self.returning -= set(stored.names) - others
-        return stored
+    @property
+    def returning(self) -> set[str]:
+        """Names of the machines that are recorded as to be returned."""
+        return {name for one in self.returns.values() for name in one.names}
 
     def _take_open(self, key: str, raw: msgspec.Raw, version: int, now: int) -> None:
         ref, part = split_open(key)
--- a/basaltlead/quiet_keeping.py
+++ b/basaltlead/quiet_keeping.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from basaltlead.clients.base import Unavailable
+from basaltlead.clients.base import Backoff, Unavailable
 from basaltlead.clients.state import Conflict, SessionLeaseExpired
 from basaltlead.core import fleet
 from basaltlead.core.model import Machine
@@ -29,11 +29,13 @@
 
     async def load(self) -> None:
         """What an earlier owner has reserved."""
+        backoff = Backoff(200_000, 2_000_000, self.owner.member.chance)
         while not self.loaded:
             try:
                 row = await self.owner.state.get(self.key)
             except (Failed, Unavailable) as fault:
                 log.info("reading quiet times: %s", fault)
+                await backoff.rest()
                 continue
             if row is not None:
                 self.owner.versions[self.key] = row.version
--- a/basaltlead/rental_requests.py
+++ b/basaltlead/rental_requests.py
@@ -118,7 +118,8 @@
         self.carrying[name] = self.owner.spawn(self._carry_out(name, stored), f"hire {name}")
 
     async def _carry_out(self, name: str, stored: StoredHire) -> None:
-        self._await_machines(name, stored)
+        if name not in self.pending:
+            self._await_machines(name, stored)
         try:
             names = await self.renting.ask(name, stored, lambda why: self._refused(name, why))
             version = self.owner.versions.pop(HIRE + name, 0)
@@ -157,13 +158,14 @@
 
     def _expect(self, stored: StoredHire, names: list[str]) -> None:
         now = now_us()
+        returning = self.owner.returning
         kind = self.owner.kinds.get(stored.kind) or placeholder_kind(stored.kind)
         for name in names:
             if name in self.owner.block.gone:
                 continue
             machine = Machine(name, kind, stored.zone, stored.spot, now)
             machine.made_at = now - age_us(stored.at)
-            machine.deleting = name in self.owner.returning
+            machine.deleting = name in returning
             self.owner.block.add_machine(machine)
 
     # Following what the holder of the duty does
--- a/basaltlead/store_limits.py
+++ b/basaltlead/store_limits.py
@@ -35,16 +35,17 @@
             return f"{total} bytes, {TRANSACTION_BYTES} are allowed"
         return ""
 
-    def drops(self, keys: Iterable[str]) -> Iterator[list[str]]:
+    def drops(self, keys: Iterable[str], beside: int = 0) -> Iterator[list[str]]:
         """Divide keys that are to be dropped into transactions that are accepted."""
-        return self.batches(dict.fromkeys(keys, 0))
+        return self.batches(dict.fromkeys(keys, 0), beside)
 
-    def batches(self, sizes: Mapping[str, int]) -> Iterator[list[str]]:
-        """Divide rows, given the size of each value, into transactions that are accepted."""
+    def batches(self, sizes: Mapping[str, int], beside: int = 0) -> Iterator[list[str]]:
+        """Divide rows, given the size of each value, into transactions that are accepted, each
+        with so many other changes beside them."""
         batch: list[str] = []
         used = 0
         for key, size in sizes.items():
-            full = len(batch) >= self.operations
+            full = len(batch) >= self.operations - beside
             if batch and (full or used + size > TRANSACTION_BYTES - ENVELOPE_BYTES):
                 yield batch
                 batch, used = [], 0
