Tests of an incident: a task ran on two machines at once

A machine that reaches no controller, but is reached by pushed commands, begins a new agent epoch. The shard leader counts its silence from the grant all the same, takes the machine for lost a lease after the grant, and starts its tasks elsewhere while the lease of the new epoch lasts.

--- /dev/null
+++ b/tests/test_worker_lease.py
@@ -0,0 +1,157 @@
+"""When a worker's lease has provably expired, and what a shard leader concludes from that.
+
+The incident (docs/incidents/2026-12-02-task-ran-twice.md): a task of an array ran on two machines
+at once. What users saw, and the order of events:
+
+- Some machines reach no controller any more, while pushed commands still reach them.
+- The shard leader loses the key-value store, and another controller is granted the shard. Its probe
+  shows the fencing token to such a machine, still in the agent epoch of the previous shard leader.
+- That agent epoch ends, a lease after the last heartbeat that was answered. The next one begins,
+  which only the answers to pushed commands show. Its lease lasts as long as any.
+- A job is accepted less than half a lease after the grant, and a task of it is started there.
+- A lease after the grant the shard leader takes the machine for lost, with the task on it, and
+  starts the task on another machine, while the first has several seconds of its lease left.
+
+Cause: silence was counted from the grant, a moment in an earlier agent epoch, and not from the
+beginning of the epoch in which the task was started. A fact about one epoch was taken for one about
+the next.
+
+Evidence: the second start came 15.5 s after the grant, one lease of 15.25 s and its margins; the
+first machine was deleted only 0.5 s later, and never reported the end of the task.
+"""
+
+import asyncio
+
+from basaltlead.core.entities import Attempt, JobState, Machine
+from basaltlead.core.jobs import US
+from basaltlead.core.planning import plan
+from tests.builders import TIMING, Story, task_status
+from tests.fakes import Deployment, FakeWorker
+from tests.simulation import Loop, poll_until, simulated
+
+
+def _push_starts(story: Story, machine: Machine) -> list[Attempt]:
+    """Push what is due for a machine; the starts, which stay in flight."""
+    return story.shard.take_push_commands(machine)[1]
+
+
+def _answer_push(story: Story, starts: list[Attempt], epoch: int, executed: bool) -> None:
+    """The machine answers a push, and shows its epoch and, if it executed them, the starts."""
+    machine = starts[0].machine.name
+    tasks = [task_status(attempt, "running") for attempt in starts] if executed else []
+    story.shard.answer(
+        story.make_heartbeat(machine, *tasks, epoch=epoch), story.now, starts if executed else ()
+    )
+    story.shard.acknowledge_starts(starts, executed)
+
+
+def _probe(story: Story, machine: str, epoch: int) -> None:
+    """A probe is answered, without a task."""
+    story.shard.answer(story.make_heartbeat(machine, epoch=epoch), story.now)
+
+
+def _start_in_new_epoch(story: Story, machine: Machine, job_state: JobState) -> Attempt:
+    """A start is refused, since the machine has begun epoch 2, and is executed there."""
+    _answer_push(story, _push_starts(story, machine), epoch=2, executed=False)
+    plan(story.shard, story.now)
+    _answer_push(story, _push_starts(story, machine), epoch=2, executed=True)
+    return story.attempt(job_state)
+
+
+def test_task_started_in_a_new_epoch_is_kept_for_a_whole_lease_of_that_epoch() -> None:
+    # Given a machine that an earlier shard leader used, and that hears us but is not heard
+    story = Story(machines=0)
+    machine = story.add("m-0", loaded=True)
+    machine.address = "10.1.0.1:9"
+    _probe(story, "m-0", epoch=1)
+    story.now += TIMING.lease_us // 2 - US
+
+    # When its epoch ends, and a new job is started in the next one
+    job_state = story.submit()
+    attempt = _start_in_new_epoch(story, machine, job_state)
+    epoch_began = story.now
+    story.add("m-1")
+    story.heartbeat("m-1")
+
+    # Then the task stays there when a lease has passed since the grant
+    story.now = story.shard.acquired_at + TIMING.lease_expiry_us + US
+    story.shard.advance(story.now)
+    plan(story.shard, story.now)
+    assert story.attempt(job_state) is attempt
+    assert not machine.lost
+
+    # and until the lease of its own epoch has passed
+    story.now = epoch_began + TIMING.lease_expiry_us
+    story.shard.advance(story.now)
+    assert story.attempt(job_state) is attempt
+    story.now += US
+    story.shard.advance(story.now)
+    assert machine.lost
+    plan(story.shard, story.now)
+    assert story.attempt(job_state).machine.name == "m-1"
+
+
+def test_machine_that_shows_itself_again_is_not_lost_again_at_once() -> None:
+    # Given a machine that was lost
+    story = Story()
+    machine = story.shard.machines["m-0"]
+    story.now += TIMING.lease_expiry_us + US
+    story.shard.advance(story.now)
+    assert machine.lost
+
+    # When it shows itself again in its next epoch, but only by an answer to a probe
+    _probe(story, "m-0", epoch=2)
+    story.now += US // 10
+    story.shard.advance(story.now)
+
+    # Then it is not lost, and its heartbeats are answered
+    assert not machine.lost
+    assert story.heartbeat("m-0", epoch=2) is not None
+
+
+async def _replace_shard_leader(deployment: Deployment) -> float:
+    """Crash the shard leader; when another one was granted the shard."""
+    previous = deployment.acting_shard_leader()
+    deployment.crash(previous)
+    await poll_until(lambda: deployment.shard_leader() not in (None, previous), 0.05)
+    return deployment.loop.time()
+
+
+def _machines_that_are_up(deployment: Deployment) -> list[FakeWorker]:
+    return [machine for machine in deployment.cloud.machines.values() if machine.up]
+
+
+@simulated
+async def test_no_task_runs_twice_when_machines_that_are_not_heard_begin_a_new_epoch(
+    loop: Loop,
+) -> None:
+    # Given idle machines, half of which suddenly reach no controller
+    deployment = Deployment(loop, lease=14.0)
+    await deployment.start()
+    await deployment.submit(deployment.job(1, Pieces=24, RunS=1.0, Grades=["small"]))
+    await deployment.wait_until_done("req-000001")
+    deployment.cloud.answer_delay_s = 3.0  # what is lost is not deleted at once
+    machines = _machines_that_are_up(deployment)
+    silent = machines[: len(machines) // 2]
+    for machine in silent:
+        machine.sends_no_heartbeats = True
+    muted_at = loop.time()
+
+    # When another shard leader is granted the shard some seconds later, the epochs of the machines
+    # end, and less than half a lease after the grant new jobs start there
+    await asyncio.sleep(6)
+    granted_at = await _replace_shard_leader(deployment)
+    await deployment.wait_until(lambda: all(machine.epoch == 2 for machine in silent))
+    assert muted_at + deployment.lease / 2 < granted_at < muted_at + deployment.lease
+    assert loop.time() < granted_at + deployment.lease / 2
+    await deployment.submit(deployment.job(2, Pieces=len(machines), RunS=30.0))
+    await deployment.wait_until(
+        lambda: any(machine in silent for machine in deployment.rule_checker.running_on.values()),
+        5.0,
+    )
+
+    # Then no task is started elsewhere before its first machine has killed it
+    await asyncio.sleep(2 * deployment.lease)
+    deployment.end_all_faults()
+    await deployment.wait_until_done("req-000002")
+    deployment.assert_no_violation()
