A worker's lease is counted from the epoch that is known, not only from the grant

Cause: a shard leader counted a machine's silence from its last answered heartbeat or the grant. A machine that begins a new agent epoch unheard, which answers to pushed commands show, has a lease of its own from then on. What was started in it was taken for gone up to a whole lease too early, and started a second time elsewhere; a lost machine that showed itself again by an answer to a probe was lost again at the next tick, and the heartbeats of its live epoch were refused.

Change: core/worker_lease.py decides when a lease has provably expired, from the latest of the grant, the first message of the epoch and the last answered heartbeat; advance() asks it. Whether new tasks are kept off a silent machine counts from answered heartbeats only, as before.

A seeded campaign draws the meeting itself: machines out of contact in four ways, the shard leader in trouble in seven, jobs all along, machines that keep images.

--- a/basaltlead/core/candidate_machines.py
+++ b/basaltlead/core/candidate_machines.py
@@ -23,7 +23,7 @@
     return [
         machine
         for machine in shard.machines.values()
-        if machine.usable(now) and machine.answered_at >= since
+        if machine.usable(now) and machine.lease.answered_at >= since
     ]
 
 
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -11,6 +11,7 @@
 from basaltlead.core.task_keys import AttemptKey, TaskKey
 from basaltlead.core.task_queue import TaskQueue, TaskRange
 from basaltlead.core.task_states import PLANNED, RUNNING
+from basaltlead.core.worker_lease import WorkerLease
 
 # A worker's report must fit into 64 KiB, and so must the tasks that it lists.
 MAX_TASKS_PER_MACHINE = 400
@@ -112,7 +113,7 @@
         # When it was heard, and answered.
         self.messages = MessageOrder()
         self.heard_at = 0
-        self.answered_at = now
+        self.lease = WorkerLease(now)
         self.back_at = 0  # when it was last heard again after it had been lost
         self.push_backoff_until = 0  # no commands are pushed until then
 
@@ -174,6 +175,7 @@
         if self.lost:
             self.back_at = now
         self.messages.begin(epoch, now)
+        self.lease.begin_epoch(now)
         self.lost = False
         self.synced = False
         self.up = True
--- a/basaltlead/core/shard.py
+++ b/basaltlead/core/shard.py
@@ -142,8 +142,10 @@
 
     # Machines
 
-    def load_machine(self, machine: Machine) -> None:
-        """Add one that the key-value store lists as in use when we acquire the shard."""
+    def load_machine(self, machine: Machine, answered_at: int | None = None) -> None:
+        """Add one that the key-value store lists as in use when we acquire the shard, and when we
+        answered it before we knew it, if we did."""
+        machine.lease.grant(self.acquired_at, answered_at)
         self._fleet.load(machine)
 
     def add_machine(self, machine: Machine) -> None:
@@ -183,7 +185,7 @@
         if receipt is UNPROVEN:
             return self.halt_orphans(heartbeat)
         self._drainer.drain(machine, now)
-        machine.answered_at = now
+        machine.lease.answer(now)
         if not machine.synced:
             return self.halt_orphans(heartbeat)
         return self._commands.for_heartbeat(machine, machine.messages.heartbeat_sequence)
@@ -223,11 +225,10 @@
         due = [
             m
             for m in self.machines.values()
-            if m.answered_at < silent_before or m.preemption_at is not None or m.draining
+            if m.lease.counted_from < silent_before or m.preemption_at is not None or m.draining
         ]
         for machine in due:
-            since = max(machine.answered_at, self.acquired_at)
-            if machine.lost or now - since <= self.timing.lease_expiry_us:
+            if machine.lost or not machine.lease.has_expired(now, self.timing):
                 self._drainer.drain(machine, now)
             elif machine.up or machine.name in self.unsynced:
                 self._fleet.lose(machine, now)
--- a/basaltlead/shard/loader.py
+++ b/basaltlead/shard/loader.py
@@ -92,10 +92,9 @@
             machine = Machine(name, machine_type, stored.zone, stored.spot, now)
             machine.address = stored.address
             machine.made_at = now - age_us(stored.at)
-            machine.answered_at = answered_at.get(name, shard.acquired_at)
             machine.terminating = name in returning
             self.context.store.versions[row.key] = row.version
-            shard.load_machine(machine)
+            shard.load_machine(machine, answered_at.get(name))
 
     def _load_scale_outs(self, rows: list[Row]) -> None:
         for row in rows:
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -46,6 +46,7 @@
         self.old_version_nodes: set[str] = set()  # they start in the version before services
         self.write_rps = 200.0  # changes a second that the key-value store takes
         self.heartbeat_copy_rate = 0.0  # share of heartbeats that arrive a second time, late
+        self.caches_images = False  # a task whose image its machine has had starts at once
         self.store = FakeKeyValueStore(loop)
         self.cloud = FakeCloud(self)
         self.rule_checker = RuleChecker(self)
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -20,6 +20,7 @@
 
     REPORT = 1.0
     LEASE = 6.0
+    FETCH = 0.5  # s that an image takes to arrive
 
     def __init__(
         self,
@@ -51,6 +52,7 @@
         self.failed = False  # it has stopped by itself
         self.sends_no_heartbeats = False  # it reaches no controller, while pushed commands reach it
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.images: set[str] = set()  # those that were fetched once
         self.change = asyncio.Event()
         self.lease_from = self.created_at
         self.task = on_host(self.host, self._boot_and_serve())
@@ -220,7 +222,14 @@
         if used + job["Cores"] > self.machine_type["Cores"] + 1e-9:
             self.tasks[key] = {"Stage": "ended", "Cause": "full"}
             return
-        self.tasks[key] = {"Stage": "fetching", "at": self.loop.time() + 0.5}
+        self.tasks[key] = {"Stage": "fetching", "at": self.loop.time() + self._fetch_s(job)}
+
+    def _fetch_s(self, job: dict[str, Any]) -> float:
+        image = job["Mould"]
+        if self.deployment.caches_images and image in self.images:
+            return 0.0
+        self.images.add(image)
+        return self.FETCH
 
     def has_room_for(self, job: dict[str, Any]) -> bool:
         """Might a task of the job be started here now?"""
--- a/tests/test_replica_placement.py
+++ b/tests/test_replica_placement.py
@@ -98,7 +98,7 @@
     assert attempt.stop_grace_s is None  # it runs for as long as it can
     for _ in range(16):
         story.now += US
-        attempt.machine.answered_at = story.now
+        attempt.machine.lease.answer(story.now)
         story.shard.advance(story.now)
         assert attempt.stop_grace_s is None
     story.now += 20 * US - 16 * US - 2 * TIMING.heartbeat_interval_us - US
--- /dev/null
+++ b/tests/test_silent_machine_faults.py
@@ -0,0 +1,185 @@
+"""Machines out of contact while the shard leader is replaced or in trouble, by seed.
+
+`tests/test_random_faults.py` draws its faults one by one, each of one machine or one controller. It
+never came to a machine that begins a new agent epoch unheard, is given a task there, and is taken
+for lost before that epoch is over: this needs a shard leader granted in the second half of the
+lease of a machine that reaches no controller, a job accepted within half a lease of the grant, room
+on another machine that has the image, and a cloud that does not delete the machine first. Here the
+meeting itself is drawn: which machines fall out of contact and how, what befalls the shard leader
+how much later, and jobs all along.
+"""
+
+import asyncio
+import os
+import random
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+
+import pytest
+
+from tests.fakes import Deployment, FakeWorker
+from tests.simulation import Loop, play
+
+SEEDS = 30
+# A longer soak is started by hand, with the number of its seeds in this variable.
+SOAK_SEEDS_VARIABLE = "BASALTLEAD_SOAK_SEEDS"
+SOAK_SEEDS = int(os.environ.get(SOAK_SEEDS_VARIABLE, SEEDS))
+ROUNDS = 3  # meetings a day
+MACHINES = 12
+LEASES_S = (8.0, 11.0, 14.0)
+JOBS_A_SECOND = 1.0
+
+
+class Contact(StrEnum):
+    """How a machine falls out of contact: the attribute of the fake worker."""
+
+    MUTE = "sends_no_heartbeats"
+    DEAF = "unreachable"
+    HUNG = "hung"
+    ANSWERS_LOST = "answers_lost"
+
+
+Trouble = Callable[[Deployment, random.Random], Awaitable[None]]
+
+
+async def _crash(deployment: Deployment, rng: random.Random) -> None:
+    """The shard leader ends, and comes back soon or late."""
+    name = deployment.shard_leader()
+    if name is None:
+        return
+    deployment.crash(name)
+    await asyncio.sleep(rng.choice([0.2, 2.0, 8.0]))
+    deployment.start_controller(name)
+
+
+async def _hand_over_and_back(deployment: Deployment, rng: random.Random) -> None:
+    """One shard leader ends after the other, each back before the next one ends."""
+    for _ in range(2):
+        await _crash(deployment, rng)
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+
+
+async def _pause(deployment: Deployment, rng: random.Random) -> None:
+    """The shard leader stands still while its clocks run on."""
+    name = deployment.shard_leader()
+    if name is None:
+        return
+    deployment.freeze(name)
+    await asyncio.sleep(rng.choice([2.0, 6.0, 15.0]))
+    deployment.thaw(name)
+
+
+async def _lose_store(deployment: Deployment, rng: random.Random) -> None:
+    """The link between the shard leader and the key-value store fails."""
+    host = deployment.host(deployment.shard_leader() or deployment.nodes[0])
+    deployment.net.cut(host, deployment.store.HOST)
+    await asyncio.sleep(rng.uniform(4.0, 15.0))
+    deployment.net.heal(host, deployment.store.HOST, deliver=rng.random() < 0.5)
+
+
+async def _refused_alone(deployment: Deployment, rng: random.Random) -> None:
+    """The key-value store refuses the shard leader alone."""
+    host = deployment.host(deployment.shard_leader() or deployment.nodes[0])
+    deployment.store.refused_hosts.add(host)
+    await asyncio.sleep(rng.uniform(4.0, 15.0))
+    deployment.store.refused_hosts.discard(host)
+
+
+async def _outage(deployment: Deployment, rng: random.Random) -> None:
+    """The key-value store is down for all, soon after the shard leader has ended."""
+    await _crash(deployment, rng)
+    deployment.store.down = True
+    await asyncio.sleep(rng.uniform(2.0, 10.0))
+    deployment.store.end_outage()
+
+
+async def _none(deployment: Deployment, rng: random.Random) -> None:
+    """Nothing befalls the shard leader."""
+
+
+TROUBLES: list[Trouble] = [
+    _crash,
+    _hand_over_and_back,
+    _pause,
+    _lose_store,
+    _refused_alone,
+    _outage,
+    _none,
+]
+
+
+async def _submit_jobs(deployment: Deployment, rng: random.Random) -> None:
+    """Submit small jobs for as long as the day lasts; some are cancelled."""
+    for number in range(2, 1000):
+        gang = rng.random() < 0.2
+        job = deployment.job(
+            number,
+            Crew=rng.choice(["red", "blue"]),
+            Shape="group" if gang else "batch",
+            Pieces=rng.choice([1, 2]),
+            RunS=rng.choice([3.0, 12.0, 25.0]),
+            OneZone=rng.random() < 0.2,
+        )
+        await deployment.submit(job)
+        if rng.random() < 0.15:
+            await deployment.cancel(job["Ref"])
+        await asyncio.sleep(rng.expovariate(JOBS_A_SECOND))
+
+
+def _set_contact(machines: list[FakeWorker], contact: Contact, lost: bool) -> None:
+    for machine in machines:
+        setattr(machine, contact, lost)
+
+
+async def _meet(deployment: Deployment, rng: random.Random) -> None:
+    """Machines fall out of contact, something befalls the shard leader, all of it ends."""
+    up = [machine for machine in deployment.cloud.machines.values() if machine.up]
+    silent = [machine for machine in up if rng.random() < rng.choice([0.2, 0.5])]
+    contact = rng.choice([Contact.MUTE, Contact.MUTE, *Contact])
+    trouble = rng.choice(TROUBLES)
+    _set_contact(silent, contact, True)
+    await asyncio.sleep(rng.uniform(0.0, deployment.lease * 0.6))
+    pending = asyncio.ensure_future(trouble(deployment, rng))
+    await asyncio.sleep(deployment.lease * rng.uniform(0.5, 2.5))
+    _set_contact(silent, contact, False)
+    await pending
+    await asyncio.sleep(rng.uniform(1.0, deployment.lease))
+
+
+async def _check_rules(deployment: Deployment) -> None:
+    while True:
+        deployment.rule_checker.check()
+        deployment.shard_leader()  # never two
+        await asyncio.sleep(0.25)
+
+
+async def _play_day(loop: Loop, seed: int) -> None:
+    rng = random.Random(seed)
+    limits = {"blue": 6.0} if seed % 3 == 0 else None
+    deployment = Deployment(loop, seed, limits=limits, lease=rng.choice(LEASES_S))
+    deployment.cloud.capacity = MACHINES
+    deployment.caches_images = True
+    await deployment.start()
+    await deployment.submit(deployment.job(1, Pieces=3 * MACHINES, RunS=1.0, Grades=["small"]))
+    await deployment.wait_until_done("req-000001")
+    deployment.cloud.answer_delay_s = 2.0  # what is lost is not deleted at once
+    checks = loop.create_task(_check_rules(deployment))
+    users = loop.create_task(_submit_jobs(deployment, rng))
+    for _ in range(ROUNDS):
+        await _meet(deployment, rng)
+        assert not checks.done()
+    users.cancel()
+    deployment.end_all_faults()
+    left = [ref for ref in deployment.rule_checker.last_stage if _is_left(deployment, ref)]
+    await deployment.wait_until_done(*left, seconds=300)
+    checks.cancel()
+    deployment.assert_no_violation()
+
+
+def _is_left(deployment: Deployment, ref: str) -> bool:
+    return ref not in deployment.cancel_requested
+
+
+@pytest.mark.parametrize("seed", range(SOAK_SEEDS))
+def test_rules_hold_while_machines_are_out_of_contact(seed: int) -> None:
+    play(lambda loop: _play_day(loop, seed), seed)
--- a/tests/test_worker_lease.py
+++ b/tests/test_worker_lease.py
@@ -25,6 +25,7 @@
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.jobs import US
 from basaltlead.core.planning import plan
+from basaltlead.core.worker_lease import WorkerLease
 from tests.builders import TIMING, Story, task_status
 from tests.fakes import Deployment, FakeWorker
 from tests.simulation import Loop, poll_until, simulated
@@ -71,10 +72,10 @@
     attempt = _start_in_new_epoch(story, machine, job_state)
     epoch_began = story.now
     story.add("m-1")
-    story.heartbeat("m-1")
 
     # Then the task stays there when a lease has passed since the grant
     story.now = story.shard.acquired_at + TIMING.lease_expiry_us + US
+    story.heartbeat("m-1")
     story.shard.advance(story.now)
     plan(story.shard, story.now)
     assert story.attempt(job_state) is attempt
@@ -85,6 +86,7 @@
     story.shard.advance(story.now)
     assert story.attempt(job_state) is attempt
     story.now += US
+    story.heartbeat("m-1")
     story.shard.advance(story.now)
     assert machine.lost
     plan(story.shard, story.now)
@@ -155,3 +157,53 @@
     deployment.end_all_faults()
     await deployment.wait_until_done("req-000002")
     deployment.assert_no_violation()
+
+
+# Each of the moments from which a lease may be counted, alone the latest
+
+
+def _expires_at(lease: WorkerLease, now: int) -> int:
+    """Some microseconds after `now`, to the microsecond."""
+    low, high = now, now + 10 * TIMING.lease_us
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (low, middle) if lease.has_expired(middle, TIMING) else (middle, high)
+    return low
+
+
+def test_lease_is_counted_from_the_latest_of_grant_epoch_and_answer() -> None:
+    lease = WorkerLease(0)
+    lease.grant(10 * US)
+    assert _expires_at(lease, 10 * US) == 10 * US + TIMING.lease_expiry_us
+    lease.begin_epoch(13 * US)
+    assert _expires_at(lease, 13 * US) == 13 * US + TIMING.lease_expiry_us
+    lease.answer(17 * US)
+    assert _expires_at(lease, 17 * US) == 17 * US + TIMING.lease_expiry_us
+
+
+def test_answer_given_before_the_shard_was_loaded_prolongs_the_lease_after_the_grant() -> None:
+    lease = WorkerLease(30 * US)
+    lease.grant(10 * US, answered_at=12 * US)
+    assert _expires_at(lease, 12 * US) == 12 * US + TIMING.lease_expiry_us
+
+
+def test_lease_expires_no_earlier_than_on_the_slowest_clock() -> None:
+    """The worker's clock may be slow and ours fast, by 0.05% each."""
+    slowest_us = TIMING.lease_us * 1.0005 / 0.9995
+    assert TIMING.lease_expiry_us > slowest_us
+
+
+def test_epoch_that_only_a_push_has_shown_does_not_make_a_silent_machine_usable() -> None:
+    # Given a machine that was silent for more than half a lease
+    story = Story()
+    story.now += TIMING.lease_us // 2 + US
+
+    # When an answer to a probe shows its next epoch
+    _probe(story, "m-0", epoch=2)
+
+    # Then no task is started there until a heartbeat is answered
+    job_state = story.submit()
+    assert not job_state.live
+    story.heartbeat("m-0", epoch=2)
+    plan(story.shard, story.now)
+    assert story.attempt(job_state).machine.name == "m-0"
