Test of a second path: a push that is sent after its machine began another epoch

Found by asking every place that uses the agent epoch from which moment it is taken. A heartbeat that shows the next epoch between the decision to push a start and its sending takes the attempt for gone; the push then names the new epoch, is executed there, and the task is started twice.

--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -85,6 +85,14 @@
                 self.deployment.rule_checker.task_left(task, self)
         self.tasks.clear()
 
+    def begin_next_epoch(self) -> None:
+        """Its lease has expired."""
+        self._kill_all()
+        self.epoch += 1
+        self.tick = 0
+        self.lease_from = self.loop.time()
+        self.change.set()
+
     async def _boot_and_serve(self) -> None:
         await asyncio.sleep(self.machine_type["ReadyS"])
         server = self.deployment.servers[self.host] = Server(self.handle, 100)
@@ -262,11 +270,7 @@
             await asyncio.sleep(0.1)
             now = self.loop.time()
             if now - self.lease_from > self.deployment.lease:
-                self._kill_all()
-                self.epoch += 1
-                self.tick = 0
-                self.lease_from = now
-                self.change.set()
+                self.begin_next_epoch()
             for key, entry in list(self.tasks.items()):
                 if self.hung:
                     entry["at"] = entry.get("at", now) + 0.1
--- a/tests/test_worker_lease.py
+++ b/tests/test_worker_lease.py
@@ -22,10 +22,13 @@
 
 import asyncio
 
+import msgspec
+
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.jobs import US
 from basaltlead.core.planning import plan
 from basaltlead.core.worker_lease import WorkerLease
+from basaltlead.wire.workers import Heartbeat
 from tests.builders import TIMING, Story, task_status
 from tests.fakes import Deployment, FakeWorker
 from tests.simulation import Loop, poll_until, simulated
@@ -207,3 +210,39 @@
     story.heartbeat("m-0", epoch=2)
     plan(story.shard, story.now)
     assert story.attempt(job_state).machine.name == "m-0"
+
+
+@simulated
+async def test_push_decided_in_one_epoch_is_not_executed_in_the_next(loop: Loop) -> None:
+    """Users would see a task twice: its start is pushed, a heartbeat shows that the machine has
+    begun another epoch, so that the attempt is taken for gone and started elsewhere, and only then
+    is the push sent. It must name the epoch for which it was decided, not the one known by then."""
+    # Given idle machines
+    deployment = Deployment(loop)
+    await deployment.start()
+    await deployment.submit(deployment.job(1, Pieces=24, RunS=1.0, Grades=["small"]))
+    await deployment.wait_until_done("req-000001")
+    leader = deployment.controllers[deployment.acting_shard_leader()].shard_leaders[0]
+    push_all = leader.dispatcher.push_all
+    pushed: list[str] = []
+
+    def push_all_and_begin_epoch(now: int) -> None:
+        """The heartbeat arrives between the decision to push and the moment of sending."""
+        push_all(now)
+        for machine in leader.shard.machines.values():
+            starts = [attempt for attempt in machine.attempts.values() if attempt.start_in_flight]
+            if starts and not pushed:
+                pushed.append(machine.name)
+                worker = deployment.cloud.machines[machine.name]
+                worker.begin_next_epoch()
+                leader.heartbeat(msgspec.convert(worker.heartbeat(), Heartbeat))
+
+    # When a start is pushed while its machine begins another epoch
+    leader.dispatcher.push_all = push_all_and_begin_epoch
+    await deployment.submit(deployment.job(2, RunS=20.0))
+    await deployment.wait_until(lambda: bool(pushed))
+
+    # Then the task runs once
+    await deployment.wait_until_done("req-000002")
+    assert deployment.rule_checker.starts_of("req-000002") == 1
+    deployment.assert_no_violation()
