Pushed commands name the epoch they were decided for; the log tells why tasks were taken for gone

Cause: a push took the agent epoch of its machine when it was sent. A heartbeat that shows the next epoch in between takes the attempts for gone, and the push then starts them in the new epoch.

Change: the decision holds its epoch (PushedCommands).

Log: one line at info for a machine that is lost or begins an epoch, with token, epoch, since when and what its lease is counted, and up to five tasks by name; grants with their revisions; loading with the revision of the open jobs and when it was requested. At debug each run and halt with what was known, refused heartbeats, reads of the cancellations.

--- a/basaltlead/cluster/election.py
+++ b/basaltlead/cluster/election.py
@@ -143,9 +143,11 @@
         cluster.note_fencing_token(Counter(grant.fencing_token), version)
         cluster.note_grant(key, grant, version)
         log.info(
-            "%s granted to %s with fencing token %d",
+            "%s granted to %s with fencing token %d: revision %d, after the grant of revision %d",
             grant_label(key),
             grant.name,
             grant.fencing_token,
+            version,
+            held.version if held is not None else 0,
         )
         self.membership.on_change()
--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -1,10 +1,14 @@
 """The machines of a shard: which there are, and whether they are heard."""
 
+from collections.abc import Sequence
+
 from basaltlead.core.attempt_table import AttemptTable
 from basaltlead.core.entities import Machine
 from basaltlead.core.jobs import US
 from basaltlead.core.signals import Log, ShardSignals
+from basaltlead.core.task_keys import TaskKey
 
+TASKS_NAMED = 5  # of those that were on a lost machine, in its log line
 # Names of machines that are returned, or rented, are kept for as long as lists and late reports may
 # show them. Three fleets of 6,000: some 2 MB.
 NAMES_KEPT = 18_000
@@ -13,12 +17,15 @@
 class Fleet:
     """Adds, empties and drops machines, and keeps track of which show all that is on them."""
 
-    def __init__(self, attempts: AttemptTable, signals: ShardSignals, log: Log) -> None:
+    def __init__(
+        self, fencing_token: int, attempts: AttemptTable, signals: ShardSignals, log: Log
+    ) -> None:
         self.machines: dict[str, Machine] = {}
         # Machines that may hold tasks of an earlier shard leader, and have not shown our fencing
         # token.
         self.unsynced: set[str] = set()
         self.gone: dict[str, None] = {}  # names of machines that are deleted, the oldest first
+        self._fencing_token = fencing_token
         self._attempts = attempts
         self._signals = signals
         self._log = log
@@ -77,22 +84,32 @@
     # Whether they are heard
 
     def lose(self, machine: Machine, now: int) -> None:
-        """Its lease has expired, so it has killed all its tasks. Reports of that agent epoch that
-        were held up on their way prove nothing any more."""
-        state, count = machine.state(now), len(machine.attempts)
+        """Its lease has expired, so it has killed all its tasks (see `WorkerLease`). Reports of
+        that agent epoch that were held up on their way prove nothing any more."""
+        self._log(
+            f"machine {machine.name} lost (was {machine.state(now).name.lower()}, "
+            f"fencing token {self._fencing_token}, epoch {machine.epoch}, "
+            f"{machine.lease.describe(now)}): {_named(list(machine.attempts))}"
+        )
         machine.lose()
         self.mark_unreachable(machine, now)
         self._empty(machine, now)
-        self._log(f"machine {machine.name} lost (was {state.name.lower()}, {count} tasks)")
 
     def begin_epoch(self, machine: Machine, epoch: int, now: int) -> None:
         """Its agent is heard in a new epoch: what ran in the one before was killed when that
         ended. Attempts that were never sent to it stay bound to it."""
         if machine.epoch:
-            self._log(f"machine {machine.name}: lease over, {len(machine.attempts)} tasks lost")
-            for attempt in list(machine.attempts.values()):
-                if attempt.may_be_on_machine or attempt.start_in_flight:
-                    self._attempts.remove(attempt, now)
+            over = [
+                attempt
+                for attempt in machine.attempts.values()
+                if attempt.may_be_on_machine or attempt.start_in_flight
+            ]
+            self._log(
+                f"machine {machine.name} in epoch {epoch} (fencing token {self._fencing_token}, "
+                f"{machine.lease.describe(now)}): {_named([attempt.key for attempt in over])}"
+            )
+            for attempt in over:
+                self._attempts.remove(attempt, now)
             machine.orphaned_attempts.clear()
             machine.images.clear()
             self.mark_unreachable(machine, now)
@@ -128,3 +145,12 @@
             self._log(f"machine {machine.name} has a preemption notice: {notice_s:.1f} s left")
             self._signals.dirty = True
         machine.preemption_at = now + int(max(0.0, notice_s) * US)
+
+
+def _named(keys: Sequence[TaskKey]) -> str:
+    """How many tasks are taken for gone, and the first of them."""
+    if not keys:
+        return "no tasks gone"
+    names = ", ".join(f"{key.ref}/{key.index}" for key in keys[:TASKS_NAMED])
+    more = ", ..." if len(keys) > TASKS_NAMED else ""
+    return f"{len(keys)} tasks gone: {names}{more}"
--- a/basaltlead/core/shard.py
+++ b/basaltlead/core/shard.py
@@ -48,7 +48,7 @@
         self._signals = ShardSignals()
         self._jobs = OpenJobs(self._signals)
         self._attempts = AttemptTable(fencing_token, self._jobs, self._signals)
-        self._fleet = Fleet(self._attempts, self._signals, log)
+        self._fleet = Fleet(fencing_token, self._attempts, self._signals, log)
         self._failures = FailurePolicy(self._jobs, self._fleet.machines, log)
         self._run_times = RunTimes()
         self._stragglers = StragglerDetector(self._attempts, self._run_times, log)
--- a/basaltlead/shard/dispatcher.py
+++ b/basaltlead/shard/dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import NamedTuple
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from basaltlead.errors import PreconditionFailed, RequestFailed, ServiceError
 from basaltlead.runtime.clock import now_us, wall_us
 from basaltlead.runtime.logs import log
+from basaltlead.shard.command_log import log_commands
 from basaltlead.shard.context import ShardContext
 from basaltlead.storage.records import MACHINE, StoredMachine
 from basaltlead.wire.store import Precondition, Put
@@ -28,6 +30,19 @@
 PROBE_PAUSE_S = 0.5
 
 
+class PushedCommands(NamedTuple):
+    """Commands for a machine, and the agent epoch that they were decided for.
+
+    The epoch is part of the decision: by the time they are sent the machine may be known to be in
+    the next one, in which nothing accounts for what they would start
+    (test_push_decided_in_one_epoch_is_not_executed_in_the_next).
+    """
+
+    epoch: int
+    commands: list[TaskCommand]
+    starts: list[Attempt]
+
+
 def to_worker_command(command: TaskCommand) -> WorkerCommand:
     """A task command as it is sent to a worker."""
     task = f"{command.ref}/{command.index}"
@@ -85,14 +100,15 @@
                 del shard.urgent[name]
             if commands:
                 self._pushing.add(machine.name)
-                self.context.spawn(self._push(machine, commands, starts), f"push {machine.name}")
+                log_commands(shard, machine, commands, pushed=True, now=now)
+                push = PushedCommands(machine.epoch, commands, starts)
+                self.context.spawn(self._push(machine, push), f"push {machine.name}")
 
-    async def _push(
-        self, machine: Machine, commands: list[TaskCommand], starts: list[Attempt]
-    ) -> None:
+    async def _push(self, machine: Machine, push: PushedCommands) -> None:
+        starts = push.starts
         executed: bool | None = None  # None: nobody knows
         try:
-            executed, heartbeat = await self._send(machine, commands)
+            executed, heartbeat = await self._send(machine, push)
             if self.lease.stepped_down or heartbeat.machine != machine.name:
                 executed = None
             else:
@@ -109,10 +125,10 @@
                 self.shard.mark_unreachable(machine, now_us())
             self.context.wake.set()
 
-    async def _send(self, machine: Machine, commands: list[TaskCommand]) -> CommandAnswer:
+    async def _send(self, machine: Machine, push: PushedCommands) -> CommandAnswer:
         """Send commands; whether they were executed, and the machine's report after them."""
-        worker_commands = [to_worker_command(command) for command in commands]
-        request = DirectCommand(self.lease.fencing_token, machine.epoch, worker_commands)
+        worker_commands = [to_worker_command(command) for command in push.commands]
+        request = DirectCommand(self.lease.fencing_token, push.epoch, worker_commands)
         return await self.workers.command(machine.address, request, self._holds_valid_lease)
 
     def record(self, machine: Machine) -> None:
--- a/basaltlead/shard/heartbeats.py
+++ b/basaltlead/shard/heartbeats.py
@@ -5,6 +5,8 @@
 from basaltlead.core.entities import Machine
 from basaltlead.net.http.messages import Response
 from basaltlead.runtime.clock import now_us
+from basaltlead.runtime.logs import log
+from basaltlead.shard.command_log import log_commands
 from basaltlead.shard.context import ShardContext
 from basaltlead.shard.dispatcher import WorkerDispatcher, to_worker_command
 from basaltlead.wire.workers import Heartbeat, HeartbeatResponse
@@ -57,8 +59,16 @@
     def _apply(self, heartbeat: Heartbeat, now: int) -> Response | None:
         commands = self.shard.heartbeat(heartbeat, now)
         if commands is None:
+            log.debug(
+                "heartbeat of %s refused: epoch %d, sequence %d, fencing token %d",
+                heartbeat.machine,
+                heartbeat.epoch,
+                heartbeat.sequence,
+                heartbeat.fencing_token,
+            )
             return None
         machine = self.shard.machines[heartbeat.machine]
+        log_commands(self.shard, machine, commands, pushed=False, now=now)
         if machine.heard_at == now:  # else it was outdated or unproven
             shows_token = heartbeat.fencing_token == self.lease.fencing_token
             self._after_heartbeat(machine, shows_token, now)
--- a/basaltlead/shard/lease.py
+++ b/basaltlead/shard/lease.py
@@ -2,7 +2,9 @@
 
 from basaltlead.cluster.membership import Membership
 from basaltlead.core.cluster_view import Grant, shard_key
+from basaltlead.core.jobs import US
 from basaltlead.runtime.clock import now_us
+from basaltlead.runtime.logs import log
 from basaltlead.wire.store import Precondition
 
 
@@ -68,6 +70,11 @@
     def cancellations_read(self, requested_at: int) -> None:
         """Note that all cancellations confirmed before `requested_at` are known."""
         self.cancellations_as_of = max(self.cancellations_as_of or requested_at, requested_at)
+        log.debug(
+            "shard %d: cancellations known by a read requested %.2f s ago",
+            self.number,
+            (now_us() - requested_at) / US,
+        )
 
     def confirm_cancellations(self, since: int, until: int) -> None:
         """Note that every other controller listed what it confirmed between these two times.
--- a/basaltlead/shard/loader.py
+++ b/basaltlead/shard/loader.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from basaltlead.core.entities import Machine
+from basaltlead.core.jobs import US
 from basaltlead.core.market import Market, TeamRecord
 from basaltlead.runtime.clock import age_us, now_us
 from basaltlead.runtime.logs import log
@@ -70,11 +71,14 @@
         self.rebalancer.load(assignments, watch_from)
         self._load_teams(teams)
         log.info(
-            "shard %d loaded: %d jobs, %d machines, %d scale-out requests",
+            "shard %d loaded: %d jobs, %d machines, %d scale-out requests, "
+            "open jobs of revision %d requested %.1f s ago",
             self.context.number,
             len(self.context.shard.job_states),
             len(self.context.shard.machines),
             len(intents.scale_outs),
+            revision,
+            (now_us() - requested_at) / US,
         )
         return revision
 
--- a/basaltlead/shard/registry.py
+++ b/basaltlead/shard/registry.py
@@ -37,6 +37,12 @@
                 self.leaders.pop(number).stop()
                 leader = None
             if leader is None and grant is not None:
+                log.info(
+                    "shard %d acquired with fencing token %d, grant of revision %d",
+                    number,
+                    grant.value.fencing_token,
+                    grant.version,
+                )
                 self.leaders[number] = self.start_leader(number, grant)
 
     async def release_stepped_down(self) -> None:
