--- a/tests/builders.py
+++ b/tests/builders.py
@@ -49,7 +49,10 @@
 
     def __init__(self, machines: int = 1, limits: dict[str, TeamQuota] | None = None) -> None:
         self.now = 1000 * US
-        self.shard = Shard(7, 100, self.now, TIMING, limits or {"red": TeamQuota()})
+        self.logged: list[str] = []
+        self.shard = Shard(
+            7, 100, self.now, TIMING, limits or {"red": TeamQuota()}, self.logged.append
+        )
         self.ticks: dict[str, int] = {}
         for number in range(machines):
             self.add(f"m-{number}")
--- a/tests/test_worker_lease.py
+++ b/tests/test_worker_lease.py
@@ -24,11 +24,15 @@
 import asyncio
 
 import msgspec
+import pytest
 
+from basaltlead.core.commands import TaskCommand
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.jobs import US
 from basaltlead.core.planning import plan
+from basaltlead.core.task_states import FORGET
 from basaltlead.core.worker_lease import WorkerLease
+from basaltlead.shard.command_log import log_commands
 from basaltlead.wire.workers import Heartbeat
 from tests.builders import TIMING, Story, task_status
 from tests.fakes import Deployment, FakeWorker
@@ -163,6 +167,50 @@
     deployment.assert_no_violation()
 
 
+# The log tells which shard leader let a task start, and on what knowledge
+
+
+def test_log_tells_since_what_the_lease_of_a_lost_machine_was_counted() -> None:
+    story = Story(machines=0)
+    machine = story.add("m-0", loaded=True)
+    machine.address = "10.1.0.1:9"
+    _probe(story, "m-0", epoch=1)
+    job_state = story.submit(tasks=7, cpus=0.5)
+    _start_in_new_epoch(story, machine, job_state)
+    story.now += TIMING.lease_expiry_us + US
+    story.shard.advance(story.now)
+
+    first_tasks = ", ".join(f"req-000001/{index}" for index in range(5))
+    assert story.logged == [
+        "machine m-0 in epoch 2 (fencing token 7, 0.0 s since its new epoch): "
+        f"7 tasks gone: {first_tasks}, ...",
+        "job req-000001 (reports, 7 tasks) runs after 0.0 s on m-0",
+        "machine m-0 lost (was ready, fencing token 7, epoch 2, 11.3 s since its new epoch): "
+        f"7 tasks gone: {first_tasks}, ...",
+    ]
+
+
+def test_debug_log_tells_what_was_known_when_a_command_was_sent(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    story = Story()
+    machine = story.shard.machines["m-0"]
+    story.submit()
+    story.now += 2 * US
+    commands, _ = story.shard.take_push_commands(machine)
+    forget = TaskCommand(FORGET, "req-000009", 0, 1)
+
+    with caplog.at_level("DEBUG", "basaltlead"):
+        log_commands(story.shard, machine, [*commands, forget], pushed=True, now=story.now)
+
+    number = commands[0].attempt_number
+    assert caplog.messages == [
+        f"run req-000001/0, attempt {number}, pushed to m-0: fencing token 7 of grant revision "
+        "100, job revision 200, epoch 1, 2.0 s since its last answered heartbeat, "
+        "0 machines not in sync"
+    ]
+
+
 # Each of the moments from which a lease may be counted, alone the latest
 
 
