--- a/basaltlead/core/fleet.py
+++ b/basaltlead/core/fleet.py
@@ -151,6 +151,6 @@
     """How many tasks are taken for gone, and the first of them."""
     if not keys:
         return "no tasks gone"
-    names = ", ".join(f"{key.ref}/{key.task_index}" for key in keys[:TASKS_NAMED])
+    names = ", ".join(f"{key.ref}/{key.task_index}" for key in sorted(keys)[:TASKS_NAMED])
     more = ", ..." if len(keys) > TASKS_NAMED else ""
     return f"{len(keys)} tasks gone: {names}{more}"
