--- a/basaltlead/core/worker_lease.py
+++ b/basaltlead/core/worker_lease.py
@@ -32,7 +32,7 @@
 
     REGISTERED = "its registration"
     GRANTED = "the grant"
-    EPOCH_BEGAN = "its new epoch"
+    EPOCH_BEGAN = "the first message of its epoch"
     ANSWERED = "its last answered heartbeat"
 
 
