--- a/tests/fakes/rule_checker.py
+++ b/tests/fakes/rule_checker.py
@@ -126,9 +126,9 @@
         """No job waits for long while a machine that fits has room and its team may use it."""
         jobs = self.deployment.jobs
         running = {task.partition("/")[0] for task in self.running_on}
-        for ref, told in self.last_stage.items():
+        for ref, stage in self.last_stage.items():
             waits = (
-                told not in ("done", "withdrawn")
+                stage not in ("done", "withdrawn")
                 and ref not in running
                 and not self.deployment.cancel_requested.get(ref)
                 and any(f"{ref}/{i}" not in self.results for i in range(jobs[ref]["Pieces"]))
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -49,7 +49,7 @@
         super().__init__()
         self.net = net
         self.here = here
-        self.may_be_on_machine = there
+        self.there = there
         self.other: Transport | None = None
         self.protocol: asyncio.Protocol | None = None
         self.closed = False
@@ -109,8 +109,8 @@
 
     def carry(self, end: Transport, data: bytes | None) -> None:
         """Send bytes, or the end of the connection (None), from one end to the other."""
-        link = frozenset((end.here, end.may_be_on_machine))
-        late = self.halving.get(end.may_be_on_machine)
+        link = frozenset((end.here, end.there))
+        late = self.halving.get(end.there)
         if data is not None and late is not None and link not in self.cuts:
             middle = len(data) // 2
             self._later(end, data[:middle])
@@ -121,7 +121,7 @@
             self._later(end, data)
 
     def _later(self, end: Transport, data: bytes | None) -> None:
-        takes = self.rng.uniform(0.0003, 0.003) + self.slow.get(end.may_be_on_machine, 0.0)
+        takes = self.rng.uniform(0.0003, 0.003) + self.slow.get(end.there, 0.0)
         at = max(self.loop.time() + takes, self.order.get(id(end), 0.0))
         self.order[id(end)] = at + 1e-7
         self.loop.call_at(at, self._arrive, end, data)
@@ -129,7 +129,7 @@
     def _arrive(self, end: Transport, data: bytes | None) -> None:
         """What arrives is the receiver's to deal with: on its host, and when it is awake."""
         context = contextvars.copy_context()
-        context.run(HOST.set, end.may_be_on_machine)
+        context.run(HOST.set, end.there)
         context.run(PEER.set, end.here)
         self.loop.call_soon(self._take, end, data, context=context)
 
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -50,13 +50,15 @@
     addresses = [f"{deployment.host(name)}:8081" for name in deployment.nodes]
     answers = [await client._ask(one, DutiesQuestion()) for one in addresses]
     assert answers[0] == answers[1] == answers[2]
-    told = answers[0]
-    assert isinstance(told, DutiesAnswer)
-    assert told.granted
-    assert not told.unknown
-    assert {one.duty: one.holder for one in told.duties} == {d: deployment.holder(d) for d in Duty}
-    assert told.open_count == len(told.intents) > 0
-    assert all("400" in one.refused for one in told.intents)
+    answer = answers[0]
+    assert isinstance(answer, DutiesAnswer)
+    assert answer.granted
+    assert not answer.unknown
+    assert {one.duty: one.holder for one in answer.duties} == {
+        d: deployment.holder(d) for d in Duty
+    }
+    assert answer.open_count == len(answer.intents) > 0
+    assert all("400" in one.refused for one in answer.intents)
     pages = [await client._ask(one, HistoryQuestion("")) for one in addresses]
     assert pages[0] == pages[1] == pages[2]
     deployment.store.down = True
