The simulation does not run what was cancelled while its host stood still

Cause: a callback that falls due on a frozen host was kept without its handle, and run at the thaw though it had been cancelled meanwhile; an event loop skips it. The new story fails with the same message without the correction.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -185,6 +185,27 @@
         self.net.listeners.pop(self.address, None)
 
 
+class _HostCallback:
+    """A callback that waits while its host stands still, and is not run if it is cancelled until
+    its turn comes (test_timeout_that_fell_due_on_a_frozen_host_does_not_fire_once_it_is_over)."""
+
+    __slots__ = ("callback", "handle", "loop")
+
+    def __init__(self, loop: "Loop", callback: Any) -> None:
+        self.loop = loop
+        self.callback = callback
+        self.handle: asyncio.Handle | None = None  # by which whoever scheduled it may cancel it
+
+    def __call__(self, *args: Any) -> None:
+        waiting = self.loop.frozen.get(HOST.get())
+        if waiting is not None:
+            waiting.append((self, args, contextvars.copy_context()))
+            return
+        handle, self.handle = self.handle, None
+        if handle is None or not handle.cancelled():
+            self.callback(*args)
+
+
 class Loop(asyncio.base_events.BaseEventLoop):
     """An event loop without sockets."""
 
@@ -194,7 +215,7 @@
         self.net = Network(self, random.Random(seed))
         self.wall_off: dict[str, float] = {}  # how wrong a host's time of day is, in s
         self.steady_off: dict[str, float] = {}  # by how much its steady clock has jumped
-        self.frozen: dict[str, list[tuple[Any, Any, contextvars.Context]]] = {}
+        self.frozen: dict[str, list[tuple[_HostCallback, Any, contextvars.Context]]] = {}
 
     def time(self) -> float:
         """Simulated seconds."""
@@ -209,24 +230,21 @@
     def thaw(self, host: str) -> None:
         """A host goes on with all that fell due meanwhile."""
         for callback, args, context in self.frozen.pop(host, []):
-            self.call_soon(callback, *args, context=context)
-
-    def _awake(self, callback: Any, *args: Any) -> None:
-        waiting = self.frozen.get(HOST.get())
-        if waiting is None:
-            callback(*args)
-        else:
-            waiting.append((callback, args, contextvars.copy_context()))
+            super().call_soon(callback, *args, context=context)
 
     def call_soon(  # type: ignore[override]  # any callback and any arguments
         self, callback: Any, *args: Any, context: Any = None
     ) -> Any:
-        return super().call_soon(self._awake, callback, *args, context=context)
+        held = _HostCallback(self, callback)
+        held.handle = super().call_soon(held, *args, context=context)
+        return held.handle
 
     def call_at(  # type: ignore[override]  # any callback and any arguments
         self, when: float, callback: Any, *args: Any, context: Any = None
     ) -> Any:
-        return super().call_at(when, self._awake, callback, *args, context=context)
+        held = _HostCallback(self, callback)
+        held.handle = super().call_at(when, held, *args, context=context)
+        return held.handle
 
     def _process_events(self, event_list: Any) -> None:
         pass
