--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -156,8 +156,13 @@
                 link.set_cut(cut)
 
     async def hold_workers(self, held: bool) -> None:
-        """Begin or end a cut between the machines and the controllers that holds packets back."""
-        self.record.line(f"TROUBLE {'no way' if held else 'a way again'} to and from the machines")
+        """Begin or end a cut between the shard leader and the machines that holds packets back.
+
+        Workers report to the shard leader and wait for its answer for 4 s, and only the shard
+        leader sends direct commands. So in a cut of 4 s no other link would be used.
+        """
+        leader = self.shard_leader()
+        self.record.line(f"TROUBLE {leader} {'loses' if held else 'has again'} the workers")
         for worker in self.cloud.machines.values():
             worker.held = held
             await (worker.server.hold() if held else worker.server.release())
