--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from review.standins.record import Record
-from review.standins.site import Site, facts, job, kind, play
+from review.standins.site import BROKEN, HELD, Site, facts, job, kind, play
 from review.standins.state import USUAL_LATENCY_S
 from review.standins.web import Call
 
@@ -32,7 +32,7 @@
         self.new = ""
 
     async def run(self) -> int:
-        """Play the case; return the exit status."""
+        """Play the case; return the status for run.sh."""
         site = self.site
         await site.start()
         await site.wait_until(lambda: site.shard_leader() is not None, 10, "a shard leader")
@@ -82,13 +82,13 @@
                     f"BROKEN ran_cancelled: {site.cloud.tasks_of(REF)} on machines "
                     f"{late_s + CANCEL_S:.2f} s after the user was told"
                 )
-                return 1
+                return BROKEN
         site.record.line("held: no task was on a machine after that time")
-        return 0
+        return HELD
 
 
 async def main() -> int:
-    """Run the case; return the exit status."""
+    """Run the case; return the status for run.sh."""
     record = Record(Path(__file__).parent / "record.txt")
     zones = ["asahikawa", "kushiro", "obihiro"]
     site = Site(record, facts(2.5, LEASE_S, CANCEL_S), [kind("jack-mid", 16, 64, zones)])
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -21,6 +21,7 @@
 POLL_TIMEOUT_S = 2.0
 RETRY_S = 1.0
 TEAMS = ("day-crew", "yard-crew", "office-crew")
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # how a case ends; see run.sh
 RESTART_S = 3.0  # how long a controller that has ended stays away
 
 
@@ -236,7 +237,7 @@
 
 
 async def play(site: Site, case: Callable[[], Awaitable[int]], limit_s: float) -> int:
-    """Play a case; return its exit status, 2 if it could not run. All processes are ended."""
+    """Play a case; return how it ended. All processes are ended."""
     task = asyncio.ensure_future(case())
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
@@ -244,7 +245,7 @@
             return await task
     except (CaseFailedToRun, TimeoutError, asyncio.CancelledError) as error:
         site.record.line(f"the case could not run: {error!r}")
-        return 2
+        return NOT_RUN
     finally:
         await site.stop()
 
