Log line of each listing of the open jobs while a shard is loaded

Hypotheses: (a) the load is repeated and a job of its first listing stays open although the second one no longer has it; (b) the second listing was answered from before the cancellation; (c) it was not, but the watch began after a drop that no listing had left out; (d) the job is closed, and its halts don't reach the worker. The line "shard loaded" tells the number of known jobs and a revision only, so it fits (a), (b) and (c).

Change: each listing is logged with its revision, its number of jobs, and how many known jobs are not among them. (b) and (c) predict 1 job listed, (d) that no job takes part in the market rounds.

--- a/basaltlead/shard/loader.py
+++ b/basaltlead/shard/loader.py
@@ -57,7 +57,7 @@
         (jobs, revision), (scale_ins, _) = await asyncio.gather(
             store.rows(OPEN), store.rows(SCALE_IN)
         )
-        self.open_jobs_watch.load(jobs, requested_at)
+        self.open_jobs_watch.load(jobs, revision, requested_at)
         for row in scale_ins:
             intents.scale_ins[row.key] = msgspec.json.decode(row.value, type=StoredScaleIn)
         returning = intents.returning
--- a/basaltlead/shard/open_jobs_watch.py
+++ b/basaltlead/shard/open_jobs_watch.py
@@ -39,8 +39,16 @@
         self._loaded = False
         self.orphaned_rows: list[str] = []  # results of jobs that have ended, found while loading
 
-    def load(self, rows: list[Row], requested_at: int) -> None:
+    def load(self, rows: list[Row], revision: int, requested_at: int) -> None:
         """Apply the first listing, which was requested at `requested_at`."""
+        listed = {open_key.ref for row in rows if (open_key := parse_open_key(row.key)).is_job}
+        log.info(
+            "open jobs of shard %d listed at revision %d: %d jobs, %d known ones not among them",
+            self.context.number,
+            revision,
+            len(listed),
+            len(self.shard.job_states.keys() - listed),
+        )
         for row in rows:
             self.apply_row(row.key, row.value, row.version, now_us())
         self.context.lease.cancellations_listed(requested_at)
--- a/basaltlead/storage/result_rows.py
+++ b/basaltlead/storage/result_rows.py
@@ -189,6 +189,11 @@
     ref: str
     result_row: ResultRowId | None
 
+    @property
+    def is_job(self) -> bool:
+        """Whether it is the job's own key, which exists while the job is open."""
+        return self.result_row is None
+
 
 def parse_open_key(key: str) -> OpenKey:
     """Parse a key under `open/`."""
