A listing of the open jobs replaces what earlier reads said, also while a shard is loaded

Cause: a shard leader whose load fails after the list of open/ loads again. The second listing only added jobs, so a job that had ended in between stayed open, and the watch began after its Drop. A notice of the confirming controller would have closed it, but it may be lost. Only a watch that listed anew closed what it no longer found, and took a job for open if rows of its results were left.

Change: OpenJobsWatch._apply_listing applies each listing, of a first load, a repeated one or a watch that lists anew, and holds the argument: known jobs without a row of their own are closed, by the same path as cancelled ones, and the rows of results without a job are collected anew. It works since each known job was open before the listing was requested, and a key that exists all the while is on the page that is read for it.

The fake store can refuse lists of a prefix.

--- a/basaltlead/shard/open_jobs_watch.py
+++ b/basaltlead/shard/open_jobs_watch.py
@@ -1,6 +1,7 @@
 """The open jobs of a shard: loaded from the key-value store, and closed when they end."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -17,6 +18,13 @@
 from basaltlead.wire.store import Change, Row
 
 
+class ListedJobs(NamedTuple):
+    """How many jobs a listing contains, and how many known ones it no longer contains."""
+
+    listed: int
+    ended: int
+
+
 class OpenJobsWatch:
     """Watches the rows under `open/`: jobs, and results that any shard has recorded."""
 
@@ -40,17 +48,14 @@
         self.orphaned_rows: list[str] = []  # results of jobs that have ended, found while loading
 
     def load(self, rows: list[Row], revision: int, requested_at: int) -> None:
-        """Apply the first listing, which was requested at `requested_at`."""
-        listed = {open_key.ref for row in rows if (open_key := parse_open_key(row.key)).is_job}
+        """Apply the listing of a load, which was requested at `requested_at`. If that load fails
+        later, there is another one."""
         log.info(
             "open jobs of shard %d listed at revision %d: %d jobs, %d known ones not among them",
             self.context.number,
             revision,
-            len(listed),
-            len(self.shard.job_states.keys() - listed),
+            *self._apply_listing(rows),
         )
-        for row in rows:
-            self.apply_row(row.key, row.value, row.version, now_us())
         self.context.lease.cancellations_listed(requested_at)
 
     def finish_loading(self) -> None:
@@ -104,11 +109,26 @@
                 self.close(ref)
 
     def _relist(self, rows: list[Row]) -> None:
-        listed = {parse_open_key(row.key)[0] for row in rows}
+        self._apply_listing(rows)
+
+    def _apply_listing(self, rows: list[Row]) -> ListedJobs:
+        """Apply a listing of all rows, which replaces what is known from earlier reads.
+
+        The changes from which the listing has resulted are never reported: the watch goes on from
+        its revision. So the listing alone tells that a known job has ended, by a missing row of the
+        job itself; rows of its results may be left. Conversely, each known job was open before the
+        listing was requested, so one that is still open has its row on the page that is read for it
+        (test_job_that_ends_between_two_loads_of_a_shard_is_closed).
+        """
+        listed = {open_key.ref for row in rows if (open_key := parse_open_key(row.key)).is_job}
+        known = [ref for ref, job_state in self.shard.job_states.items() if not job_state.closed]
+        ended = [ref for ref in known if ref not in listed]
+        for ref in ended:
+            self.close(ref)
+        self.orphaned_rows = []
         for row in rows:
             self.apply_row(row.key, row.value, row.version, now_us())
-        for ref in [ref for ref in self.shard.job_states if ref not in listed]:
-            self.close(ref)
+        return ListedJobs(len(listed), len(ended))
 
     def _after_read(self, sent_at: int, _has_changes: bool) -> None:
         self.context.lease.cancellations_read(sent_at)
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -32,6 +32,8 @@
         self.next_lease = 0
         self.down = False
         self.refused_hosts: set[str] = set()  # only these hosts get 503, as in an outage
+        self.unlisted_prefixes: set[str] = set()  # lists of these prefixes get 503
+        self.refused_lists = 0  # lists answered so
         # This share of the transactions is applied with a delay, and their responses are lost;
         # only transactions that change a key with the prefix are affected.
         self.late_write_share = 0.0
@@ -89,6 +91,14 @@
         matches = any(key.startswith(self.late_key_prefix) for key in keys)
         return matches and self.rng.random() < self.late_write_share
 
+    def put(self, key: str, value: Any) -> None:
+        """Write a key, as another controller would."""
+        self._transact({"Apply": [{"Put": key, "V": value}]})
+
+    def drop(self, *keys: str) -> None:
+        """Delete keys in one transaction, as another controller would."""
+        self._transact({"Apply": [{"Drop": key} for key in keys]})
+
     def end_outage(self) -> None:
         """End the outage; all leases restart with their full TTL."""
         self.down = False
@@ -112,6 +122,9 @@
             return reply(503, {"error": "trouble"})
         body = json.loads(request.body) if request.body else {}
         if path == "/kv":
+            if query["Starts"] in self.unlisted_prefixes:
+                self.refused_lists += 1
+                return reply(503, {"error": "trouble"})
             return self._list(query)
         if path.startswith("/kv/"):
             found = self.keys.get(path[4:])
