A listing of the cluster's keys keeps what this process has written after it

What happens: a controller joins, claims the leadership and grants itself the shard before its first listing of c/ is answered. The answer is older than its grant, and replaced the whole view but its own member key: the shard leader was stopped, and the watch started a second one under the same grant. That one takes it for granted that nobody has started the jobs accepted after its grant, so it starts again what runs on machines that it has not heard: ran_twice. It needs no grant in the store, that is, the first start of a deployment, an answer held up for longer than a job and a machine take, and machines out of contact at that moment. Conversely, a listing that no longer has our member key left it in the view, and the session went on until its renewal was refused.

Cause: the view was replaced by the listing without asking which of the two is newer.

Change: KeyWatch hands the listing on with its revision, and ClusterWatch keeps exactly what is newer than that (ClusterView.newer_than); older values of the leader and of the fencing token are ignored as those of members and grants were.

Tests: test_listing_older_than_our_own_grant_does_not_replace_its_shard_leader fails before with several tasks on two machines each, test_listing_without_our_member_key_ends_the_session with a valid lease. The fake store can hold up the answers to lists.

--- a/basaltlead/cluster/cluster_watch.py
+++ b/basaltlead/cluster/cluster_watch.py
@@ -11,9 +11,9 @@
     MemberRecord,
 )
 from basaltlead.runtime.logs import log
-from basaltlead.storage.client import KeyValueStore
+from basaltlead.storage.client import KeyValueStore, RowList
 from basaltlead.storage.watch import KeyWatch
-from basaltlead.wire.store import Change, Row
+from basaltlead.wire.store import Change
 
 
 class ClusterWatch:
@@ -67,13 +67,16 @@
             log.info("member key was deleted or overwritten, rejoining")
             self.session.leave()
 
-    def _load(self, rows: list[Row]) -> None:
-        """Rebuild the view from a listing of all rows, which may be older than our member key."""
-        member = self.view.members.get(self.session.name)
-        self.view = ClusterView()
-        if member is not None and self.session.version:
-            self.view.members[self.session.name] = member
-        for row in rows:
+    def _load(self, listing: RowList) -> None:
+        """Rebuild the view from a listing of all rows.
+
+        What this process has written after the listing was read stays: our member key, a claim of
+        the leadership, grants. A view without our own grant would stop the leader of a shard, and
+        the watch would then start another one under the same grant, which relies on being the only
+        one (test_listing_older_than_our_own_grant_does_not_replace_its_shard_leader).
+        """
+        self.view = self.view.newer_than(listing.revision)
+        for row in listing.rows:
             self._put(row.key, row.value, row.version)
 
     def _apply(self, change: Change) -> None:
--- a/basaltlead/core/cluster_view.py
+++ b/basaltlead/core/cluster_view.py
@@ -122,26 +122,42 @@
         self.members[record.name] = Versioned(record, version)
 
     def note_leader(self, record: MemberRecord, version: int) -> None:
-        """Store the record of the leader."""
-        self.leader = Versioned(record, version)
+        """Store the record of the leader unless a newer one is known."""
+        if self.leader is None or self.leader.version <= version:
+            self.leader = Versioned(record, version)
 
     def note_fencing_token(self, counter: FencingTokenCounter, version: int) -> None:
-        """Store the last fencing token."""
-        self.fencing_token = Versioned(counter, version)
+        """Store the last fencing token unless a newer one is known."""
+        if self.fencing_token is None or self.fencing_token.version <= version:
+            self.fencing_token = Versioned(counter, version)
+
+    def newer_than(self, revision: int) -> "ClusterView":
+        """A view of what was written after this revision; loads, which have no version, are not
+        part of it."""
+        newer = ClusterView()
+        newer.members = {n: known for n, known in self.members.items() if known.version > revision}
+        newer.grants = {
+            key: known for key, known in self.grants.items() if known.version > revision
+        }
+        if self.leader is not None and self.leader.version > revision:
+            newer.leader = self.leader
+        if self.fencing_token is not None and self.fencing_token.version > revision:
+            newer.fencing_token = self.fencing_token
+        return newer
 
     def drop(self, key: str, version: int) -> None:
-        """Remove a key that was deleted at this version. A member's record that was written later
-        stays; keys of grants and loads are never deleted."""
+        """Remove a key that was deleted at this version. The record of a member or of the leader
+        that was written later stays; keys of grants and loads are never deleted."""
         if key == LEADER:
-            self.leader = None
+            if self.leader is not None and self.leader.version <= version:
+                self.leader = None
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
             if name in self.members and self.member_version(name) <= version:
                 del self.members[name]
 
     def put(self, key: str, raw: msgspec.Raw, version: int) -> None:
-        """Store the value of a key. Values of members and grants that are older than the known ones
-        are ignored.
+        """Store the value of a key. A value that is older than the known one is ignored.
 
         Raises `msgspec.DecodeError` or `ValueError` for a key or a value that can't be read.
         """
--- a/basaltlead/shard/assignment.py
+++ b/basaltlead/shard/assignment.py
@@ -16,7 +16,7 @@
 from basaltlead.errors import ServiceError
 from basaltlead.runtime.events import wait_for_event
 from basaltlead.runtime.logs import log
-from basaltlead.storage.client import KeyValueStore
+from basaltlead.storage.client import KeyValueStore, RowList
 from basaltlead.storage.records import (
     ASSIGNMENT,
     MACHINE,
@@ -31,7 +31,7 @@
 )
 from basaltlead.storage.result_rows import parse_open_key
 from basaltlead.storage.watch import KeyWatch
-from basaltlead.wire.store import Change, Precondition, Put, Row
+from basaltlead.wire.store import Change, Precondition, Put
 
 ASSIGN_INTERVAL_S = 0.5  # between two passes if nothing has changed
 
@@ -92,14 +92,14 @@
         watch = KeyWatch(self.store, prefix, self.membership.watch_timeout_ms)
         await watch.run(partial(self._load, prefix), partial(self._apply, prefix))
 
-    def _load(self, prefix: str, rows: list[Row]) -> None:
+    def _load(self, prefix: str, listing: RowList) -> None:
         if prefix == OPEN:
             self._jobs.clear()
         elif prefix == ASSIGNMENT:
             self._assignments.clear()
         elif prefix == MACHINE:
             self._recorded_machines.clear()
-        for row in rows:
+        for row in listing.rows:
             self._put(prefix, row.key, row.value, row.version)
 
     def _apply(self, prefix: str, change: Change) -> None:
--- a/basaltlead/shard/loader.py
+++ b/basaltlead/shard/loader.py
@@ -13,6 +13,7 @@
 from basaltlead.shard.context import ShardContext
 from basaltlead.shard.open_jobs_watch import OpenJobsWatch
 from basaltlead.shard.rebalancer import Rebalancer
+from basaltlead.storage.client import RowList
 from basaltlead.storage.records import (
     ASSIGNMENT,
     MACHINE,
@@ -54,23 +55,18 @@
         # before the machines, since a machine's record is deleted before or with its scale-in. In
         # the other order, a machine that is deleted between the two reads would be loaded without
         # its scale-in, as one that may get tasks.
-        (jobs, revision), (scale_ins, _) = await asyncio.gather(
-            store.rows(OPEN), store.rows(SCALE_IN)
-        )
-        self.open_jobs_watch.load(jobs, revision, requested_at)
+        jobs, (scale_ins, _) = await asyncio.gather(store.rows(OPEN), store.rows(SCALE_IN))
+        self.open_jobs_watch.load(jobs, requested_at)
         for row in scale_ins:
             intents.scale_ins[row.key] = msgspec.json.decode(row.value, type=StoredScaleIn)
         returning = intents.returning
         machines, _ = await store.rows(MACHINE)
         scale_outs, _ = await store.rows(SCALE_OUT)
         teams, _ = await store.rows(TEAM)
-        assignments: list[Row] = []
-        watch_from = 0
-        if self.context.sharded:
-            assignments, watch_from = await store.rows(ASSIGNMENT)
+        assignments = await store.rows(ASSIGNMENT) if self.context.sharded else RowList([], 0)
         self._load_machines(machines, returning, answered_at)
         self._load_scale_outs(scale_outs)
-        self.rebalancer.load(assignments, watch_from)
+        self.rebalancer.load(assignments)
         self._load_teams(teams)
         log.info(
             "shard %d loaded: %d jobs, %d machines, %d scale-out requests, "
@@ -79,10 +75,10 @@
             len(self.context.shard.job_states),
             len(self.context.shard.machines),
             len(intents.scale_outs),
-            revision,
+            jobs.revision,
             (now_us() - requested_at) / US,
         )
-        return revision
+        return jobs.revision
 
     def _load_machines(
         self, rows: list[Row], returning: set[str], answered_at: Mapping[str, int]
--- a/basaltlead/shard/open_jobs_watch.py
+++ b/basaltlead/shard/open_jobs_watch.py
@@ -12,10 +12,11 @@
 from basaltlead.shard.context import ShardContext
 from basaltlead.shard.rebalancer import Rebalancer
 from basaltlead.shard.results import ResultWriter
+from basaltlead.storage.client import RowList
 from basaltlead.storage.records import OPEN, StoredJob, job_of
 from basaltlead.storage.result_rows import CHUNK_SHARD_OFFSET, load_results, parse_open_key
 from basaltlead.storage.watch import KeyWatch
-from basaltlead.wire.store import Change, Row
+from basaltlead.wire.store import Change
 
 
 class ListedJobs(NamedTuple):
@@ -47,14 +48,14 @@
         self._loaded = False
         self.orphaned_rows: list[str] = []  # results of jobs that have ended, found while loading
 
-    def load(self, rows: list[Row], revision: int, requested_at: int) -> None:
+    def load(self, listing: RowList, requested_at: int) -> None:
         """Apply the listing of a load, which was requested at `requested_at`. If that load fails
         later, there is another one."""
         log.info(
             "open jobs of shard %d listed at revision %d: %d jobs, %d known ones not among them",
             self.context.number,
-            revision,
-            *self._apply_listing(rows),
+            listing.revision,
+            *self._apply_listing(listing),
         )
         self.context.lease.cancellations_listed(requested_at)
 
@@ -108,10 +109,10 @@
             if part is None:
                 self.close(ref)
 
-    def _relist(self, rows: list[Row]) -> None:
-        self._apply_listing(rows)
+    def _relist(self, listing: RowList) -> None:
+        self._apply_listing(listing)
 
-    def _apply_listing(self, rows: list[Row]) -> ListedJobs:
+    def _apply_listing(self, listing: RowList) -> ListedJobs:
         """Apply a listing of all rows, which replaces what is known from earlier reads.
 
         The changes from which the listing has resulted are never reported: the watch goes on from
@@ -120,13 +121,14 @@
         listing was requested, so one that is still open has its row on the page that is read for it
         (test_job_that_ends_between_two_loads_of_a_shard_is_closed).
         """
-        listed = {open_key.ref for row in rows if (open_key := parse_open_key(row.key)).is_job}
+        open_keys = [parse_open_key(row.key) for row in listing.rows]
+        listed = {open_key.ref for open_key in open_keys if open_key.is_job}
         known = [ref for ref, job_state in self.shard.job_states.items() if not job_state.closed]
         ended = [ref for ref in known if ref not in listed]
         for ref in ended:
             self.close(ref)
         self.orphaned_rows = []
-        for row in rows:
+        for row in listing.rows:
             self.apply_row(row.key, row.value, row.version, now_us())
         return ListedJobs(len(listed), len(ended))
 
--- a/basaltlead/shard/rebalancer.py
+++ b/basaltlead/shard/rebalancer.py
@@ -15,9 +15,10 @@
 from basaltlead.runtime.logs import log
 from basaltlead.shard.context import ShardContext
 from basaltlead.shard.results import attempt_write
+from basaltlead.storage.client import RowList
 from basaltlead.storage.records import ASSIGNMENT, OPEN, AssignedRange, TaskAssignment
 from basaltlead.storage.watch import KeyWatch
-from basaltlead.wire.store import Change, Precondition, Put, Row
+from basaltlead.wire.store import Change, Precondition, Put
 
 
 class Rebalancer:
@@ -36,19 +37,20 @@
         known = self._assignments.get(ref)
         return known.value.ranges_of(self.context.number) if known is not None else []
 
-    def load(self, rows: list[Row], watch_from: int) -> None:
-        """Apply the stored assignments, which are to be watched from a revision on."""
-        self._watch_from = watch_from
-        self._apply_rows(rows)
+    def load(self, listing: RowList) -> None:
+        """Apply the stored assignments, which are to be watched from the revision of the
+        listing."""
+        self._watch_from = listing.revision
+        self._apply_listing(listing)
 
     async def follow(self) -> None:
         """Watch which tasks are assigned to this shard; never returns."""
         watch_timeout_ms = self.context.membership.watch_timeout_ms
         watch = KeyWatch(self.context.store.client, ASSIGNMENT, watch_timeout_ms, self._watch_from)
-        await watch.run(self._apply_rows, self._apply)
+        await watch.run(self._apply_listing, self._apply)
 
-    def _apply_rows(self, rows: list[Row]) -> None:
-        for row in rows:
+    def _apply_listing(self, listing: RowList) -> None:
+        for row in listing.rows:
             self._apply_row(row.key, row.value, row.version)
 
     def _apply(self, change: Change) -> None:
--- a/basaltlead/storage/watch.py
+++ b/basaltlead/storage/watch.py
@@ -8,13 +8,13 @@
 from basaltlead.errors import RevisionCompacted, ServiceError
 from basaltlead.runtime.clock import now_us, rng
 from basaltlead.runtime.logs import log
-from basaltlead.storage.client import KeyValueStore
-from basaltlead.wire.store import Change, Row
+from basaltlead.storage.client import KeyValueStore, RowList
+from basaltlead.wire.store import Change
 
 MIN_RETRY_DELAY_US = 100_000
 MAX_RETRY_DELAY_US = 1_000_000
 
-LoadRows = Callable[[list[Row]], None]
+LoadRows = Callable[[RowList], None]
 ApplyChange = Callable[[Change], None]
 AfterRead = Callable[[int, bool], None]
 
@@ -53,8 +53,9 @@
             try:
                 if self.revision is None:
                     sent_at = now_us()
-                    rows, self.revision = await self.store.rows(self.prefix)
-                    load(rows)
+                    listing = await self.store.rows(self.prefix)
+                    self.revision = listing.revision
+                    load(listing)
                     after_read(sent_at, True)
                 sent_at = now_us()
                 changes = await self.store.changes(self.prefix, self.revision, self.hold_ms)
@@ -85,12 +86,12 @@
     """
     keys = set(known)
 
-    def load(rows: list[Row]) -> None:
+    def load(listing: RowList) -> None:
         """Apply a list; keys that are no longer in it are dropped first."""
-        for key in keys - {row.key for row in rows}:
+        for key in keys - {row.key for row in listing.rows}:
             drop(key)
         keys.clear()
-        for row in rows:
+        for row in listing.rows:
             keys.add(row.key)
             put(row.key, row.value, row.version)
 
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -34,6 +34,8 @@
         self.refused_hosts: set[str] = set()  # only these hosts get 503, as in an outage
         self.unlisted_prefixes: set[str] = set()  # lists of these prefixes get 503
         self.refused_lists = 0  # lists answered so
+        # By prefix: its lists are answered with so many seconds' delay, as of their request.
+        self.list_delay_s: dict[str, float] = {}
         # This share of the transactions is applied with a delay, and their responses are lost;
         # only transactions that change a key with the prefix are affected.
         self.late_write_share = 0.0
@@ -125,7 +127,9 @@
             if query["Starts"] in self.unlisted_prefixes:
                 self.refused_lists += 1
                 return reply(503, {"error": "trouble"})
-            return self._list(query)
+            listed = self._list(query)
+            await asyncio.sleep(self.list_delay_s.get(query["Starts"], 0.0))
+            return listed
         if path.startswith("/kv/"):
             found = self.keys.get(path[4:])
             if found is None:
--- a/tests/test_lease_safety.py
+++ b/tests/test_lease_safety.py
@@ -13,8 +13,9 @@
     shard_key,
 )
 from basaltlead.errors import PreconditionFailed
+from basaltlead.storage.client import RowList
 from basaltlead.wire.peers import DeferralRequest
-from tests.fakes import Deployment
+from tests.fakes import Deployment, FakeCloud
 from tests.simulation import Loop, simulated
 
 
@@ -250,3 +251,52 @@
     assert await deployment.submit(deployment.job(1)) == 201
     await deployment.wait_until_done("req-000001")
     deployment.assert_no_violation()
+
+
+@simulated
+async def test_listing_older_than_our_own_grant_does_not_replace_its_shard_leader(
+    loop: Loop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against ran_twice: two shard leaders under one grant, one after the other; the second
+    # started what ran on machines that it had not heard, as nobody before its grant can have.
+    quick = tuple(machine_type | {"ReadyS": 0.3} for machine_type in FakeCloud.TYPES)
+    monkeypatch.setattr(FakeCloud, "TYPES", quick)
+    deployment = Deployment(loop, nodes=1, lease=30.0, cancel=90.0)
+    deployment.caches_images = True
+    deployment.store.list_delay_s["c/"] = 2.3
+    await deployment.start()
+    await deployment.wait_until(lambda: deployment.shard_leader() is not None)
+    leader = deployment.controllers["node-0"].shard_leaders[0]
+    for number in range(1, 15):
+        run_s = 60.0 if number % 2 else 6.0
+        await deployment.submit(deployment.job(number, Pieces=3, Cores=0.5, RunS=run_s))
+    await asyncio.sleep(1.5)
+    assert deployment.rule_checker.starts > 30
+
+    for machine in list(deployment.cloud.machines.values())[1::2]:
+        machine.sends_no_heartbeats = machine.unreachable = True
+    for _ in range(200):
+        deployment.rule_checker.check()
+        await asyncio.sleep(0.1)
+
+    deployment.assert_no_violation()
+    assert deployment.controllers["node-0"].shard_leaders[0] is leader
+
+
+@simulated
+async def test_listing_without_our_member_key_ends_the_session(loop: Loop) -> None:
+    # Guards against a member that takes itself for alive although a newer listing denies it.
+    deployment = Deployment(loop, nodes=1)
+    await deployment.start()
+    await deployment.wait_until(lambda: deployment.shard_leader() is not None)
+    membership = deployment.controllers["node-0"].membership
+    incarnation = membership.incarnation
+
+    rows = await membership.store.rows("c/")
+    others = [row for row in rows.rows if row.key != "c/member/node-0"]
+    membership.watch._load(RowList(others, rows.revision))
+    membership.watch._after_read(0, True)
+    assert not membership.holds_valid_lease
+
+    await deployment.wait_until(lambda: membership.holds_valid_lease)
+    assert membership.incarnation != incarnation
