A list tells also which of our own intents have ended, not only those that the watch has shown

With duties only.

What happens: the first list of a shard leader's watch of scale-out or scale-in records fails. Meanwhile it records a request, the holder of the rent duty gets no capacity for it and deletes the record. The list that succeeds has no such record, no change tells of it either, and the request stays pending for good: sizing counts its machines as on their way, and jobs wait for them. In the same way machines that the holder of the return duty has deleted stay in the shard.

Cause: follow_rows compared a list with the keys known when it was called and those that it had shown itself; the rows that its caller wrote in between were in neither.

Change: KeyWatch calls before_list before each request for a list, and follow_rows asks there what its caller knows to be stored. What is known before the request and missing from its answer is deleted.

Tests: test_request_without_capacity_is_not_awaited_if_it_ends_before_the_first_listing and test_machine_is_forgotten_if_its_return_ends_before_the_first_listing, both red before.

--- a/basaltlead/scaling/scale_in.py
+++ b/basaltlead/scaling/scale_in.py
@@ -180,8 +180,12 @@
             self.context.store.client,
             self.context.membership.watch_timeout_ms,
         )
-        known = list(self.context.intents.scale_ins)
-        await follow_rows(store, SCALE_IN, watch_timeout_ms, self._changed, self._dropped, known)
+        await follow_rows(
+            store, SCALE_IN, watch_timeout_ms, self._changed, self._dropped, self._known_keys
+        )
+
+    def _known_keys(self) -> list[str]:
+        return list(self.context.intents.scale_ins)
 
     def _changed(self, key: str, raw: msgspec.Raw, _version: int) -> None:
         self._note_recorded(key, msgspec.json.decode(raw, type=StoredScaleIn))
--- a/basaltlead/scaling/scale_out_watch.py
+++ b/basaltlead/scaling/scale_out_watch.py
@@ -28,8 +28,12 @@
             self.context.store.client,
             self.context.membership.watch_timeout_ms,
         )
-        known = [SCALE_OUT + name for name in self.context.intents.scale_outs]
-        await follow_rows(store, SCALE_OUT, watch_timeout_ms, self._changed, self._dropped, known)
+        await follow_rows(
+            store, SCALE_OUT, watch_timeout_ms, self._changed, self._dropped, self._known_keys
+        )
+
+    def _known_keys(self) -> list[str]:
+        return [SCALE_OUT + name for name in self.context.intents.scale_outs]
 
     def _changed(self, key: str, raw: msgspec.Raw, version: int) -> None:
         name = key[len(SCALE_OUT) :]
--- a/basaltlead/storage/watch.py
+++ b/basaltlead/storage/watch.py
@@ -17,6 +17,17 @@
 LoadRows = Callable[[RowList], None]
 ApplyChange = Callable[[Change], None]
 AfterRead = Callable[[int, bool], None]
+BeforeList = Callable[[], None]
+KnownKeys = Callable[[], Iterable[str]]
+
+
+def _ignore_request() -> None:
+    """Default for callers that need not act before a list is requested."""
+
+
+def _no_keys() -> Iterable[str]:
+    """Default for callers that know rows from their watch only."""
+    return ()
 
 
 def _ignore_read(sent_at: int, has_changes: bool) -> None:
@@ -40,18 +51,25 @@
         self.revision = revision
 
     async def run(
-        self, load: LoadRows, apply: ApplyChange, after_read: AfterRead = _ignore_read
+        self,
+        load: LoadRows,
+        apply: ApplyChange,
+        after_read: AfterRead = _ignore_read,
+        before_list: BeforeList = _ignore_request,
     ) -> None:
         """Follow the keys; never returns.
 
         `load` receives all rows of a list, and `apply` each change after it. `after_read` is called
         after each successful list or watch, with the time at which the request was *sent* and
         whether it returned changes: only changes made before that time are certain to be known.
+        `before_list` is called before each request for a list: a row that exists then and is
+        missing from the list has been deleted, since no later change will say so.
         """
         backoff = Backoff(MIN_RETRY_DELAY_US, MAX_RETRY_DELAY_US, rng)
         while True:
             try:
                 if self.revision is None:
+                    before_list()
                     sent_at = now_us()
                     listing = await self.store.rows(self.prefix)
                     self.revision = listing.revision
@@ -77,14 +95,21 @@
     hold_ms: int,
     put: Callable[[str, msgspec.Raw, int], None],
     drop: Callable[[str], None],
-    known: Iterable[str] = (),
+    known: KnownKeys = _no_keys,
 ) -> None:
     """Follow the keys under a prefix row by row; never returns.
 
     `put` receives key, value and version of each listed or changed row, and `drop` the key of each
-    deleted row, including those of the `known` keys that are missing from the list.
+    deleted row. `known` returns the keys of rows that the caller knows to be stored from elsewhere,
+    such as those that it has written itself: a row that it writes while the first list fails may be
+    deleted before that list succeeds, and no change tells of it
+    (test_request_without_capacity_is_not_awaited_if_it_ends_before_the_first_listing).
     """
-    keys = set(known)
+    keys: set[str] = set()
+
+    def before_list() -> None:
+        """Note what must be in the list unless it is deleted."""
+        keys.update(known())
 
     def load(listing: RowList) -> None:
         """Apply a list; keys that are no longer in it are dropped first."""
@@ -104,4 +129,4 @@
             keys.discard(change.drop)
             drop(change.drop)
 
-    await KeyWatch(store, prefix, hold_ms).run(load, apply)
+    await KeyWatch(store, prefix, hold_ms).run(load, apply, before_list=before_list)
--- a/tests/test_rent_and_return_duties.py
+++ b/tests/test_rent_and_return_duties.py
@@ -16,7 +16,7 @@
 )
 from tests.fakes import Deployment
 from tests.fakes.cloud import FakeCloud
-from tests.simulation import Loop, simulated
+from tests.simulation import Loop, poll_until, simulated
 
 
 async def _freeze_at(deployment: Deployment, when: str, prefix: str, name: str) -> None:
@@ -257,3 +257,53 @@
     await deployment.wait_until(lambda: bool(recorded_events(deployment, "refused")))
     deployment.cloud.refused_names.clear()
     await finish_and_check(deployment)
+
+
+async def _start_with_shard_leader_that_lists_nothing(loop: Loop, prefix: str) -> Deployment:
+    """Return a deployment with duties whose shard leader has just loaded its shard; its lists of
+    the intents under `prefix` fail, so that it does not watch them yet."""
+    deployment = await start_with_duties(loop)
+    former = deployment.acting_shard_leader()
+    deployment.controllers[former].shard_leaders[0].lease.step_down()
+    await poll_until(lambda: deployment.shard_leader() not in (None, former), 0.001)
+    leader = deployment.controllers[deployment.acting_shard_leader()].shard_leaders[0]
+    await poll_until(lambda: leader.loaded, 0.001)
+    deployment.store.unlisted_prefixes.add(prefix)
+    return deployment
+
+
+@simulated
+async def test_request_without_capacity_is_not_awaited_if_it_ends_before_the_first_listing(
+    loop: Loop,
+) -> None:
+    # Guards against jobs that wait for good for machines of a request that nobody executes.
+    deployment = await _start_with_shard_leader_that_lists_nothing(loop, "hire/")
+    deployment.cloud.capacity = 0
+    await deployment.submit(deployment.job(1, Pieces=8, RunS=3.0))
+    await deployment.wait_until(lambda: bool(recorded_events(deployment, "no capacity")))
+    await deployment.wait_until(lambda: not open_intents(deployment, "hire/"))
+
+    deployment.cloud.capacity = 12
+    deployment.store.unlisted_prefixes.clear()
+
+    await deployment.wait_until_done("req-000001")
+    await finish_and_check(deployment)
+
+
+@simulated
+async def test_machine_is_forgotten_if_its_return_ends_before_the_first_listing(
+    loop: Loop,
+) -> None:
+    # Guards against deleted machines that a shard leader counts as its own for good.
+    deployment = await _start_with_shard_leader_that_lists_nothing(loop, "return/")
+    shard = deployment.controllers[deployment.acting_shard_leader()].shard_leaders[0].shard
+    await deployment.submit(deployment.job(1, Pieces=8, RunS=3.0))
+    await deployment.wait_until_done("req-000001")
+    await deployment.wait_until(lambda: not deployment.cloud.machines, seconds=250.0)
+    await deployment.wait_until(lambda: not open_intents(deployment, "return/"))
+    assert shard.machines
+
+    deployment.store.unlisted_prefixes.clear()
+
+    await deployment.wait_until(lambda: not shard.machines, seconds=10.0)
+    await finish_and_check(deployment)
