The answer to recording a scale-out request doesn't undo an outcome that the watch has reported

With duties only.

What happens: a request is recorded, and the answer to the transaction takes long. The holder of the rent duty gets no capacity meanwhile and deletes the record, and the watch reports both. Then the answer comes, and the shard leader kept a request that is no more; if a controller of an older version joined, it would send that to the cloud without a record.

Cause: the answer asked only whether the watch had delivered the record, not whether it had delivered its outcome too.

Change: while a request is being recorded it has its placeholders; if they are gone when the answer comes, its outcome is known.

Test: test_request_that_ends_before_the_answer_to_its_recording_is_not_kept, red before. The fake store can hold up answers to transactions.

--- a/basaltlead/scaling/scale_out.py
+++ b/basaltlead/scaling/scale_out.py
@@ -90,9 +90,9 @@
             log.info("scale-out request %s not recorded: %s", name, error)
             self.requests.remove_pending(name)
             return
+        if name in self.context.intents.scale_outs or name not in self.requests.pending:
+            return  # the watch has delivered the record, or its outcome, before the commit returned
         self.requests.note_version(name, version)
-        if name in self.context.intents.scale_outs:
-            return  # the watch has delivered the record before the commit returned
         self.context.intents.scale_outs[name] = stored
         if not delegated:
             self.executor.start(name, stored)
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -34,8 +34,10 @@
         self.refused_hosts: set[str] = set()  # only these hosts get 503, as in an outage
         self.unlisted_prefixes: set[str] = set()  # lists of these prefixes get 503
         self.refused_lists = 0  # lists answered so
-        # By prefix: its lists are answered with so many seconds' delay, as of their request.
+        # By prefix, in s: so much later come the answers to its lists, which are as old then, and
+        # those to transactions whose first change is under it.
         self.list_delay_s: dict[str, float] = {}
+        self.transaction_delay_s: dict[str, float] = {}
         # This share of the transactions is applied with a delay, and their responses are lost;
         # only transactions that change a key with the prefix are affected.
         self.late_write_share = 0.0
@@ -140,7 +142,9 @@
                 await asyncio.sleep(self.rng.uniform(*self.late_by_s))
                 self._transact(body)
                 await asyncio.sleep(60)  # past the client's timeout
-            return self._transact(body)
+            answer = self._transact(body)
+            await asyncio.sleep(self._delay_of(body))
+            return answer
         if path == "/holds":
             self.next_lease += 1
             ttl = body["TtlMs"] / 1000
@@ -153,6 +157,11 @@
         self.leases[lease] = (self.loop.time() + ttl, ttl)
         return reply(200, {})
 
+    def _delay_of(self, body: dict[str, Any]) -> float:
+        changes = body.get("Apply", [])
+        prefix = key_of(changes[0]).partition("/")[0] + "/" if changes else ""
+        return self.transaction_delay_s.get(prefix, 0.0)
+
     def _list(self, query: dict[str, str]) -> Response:
         limit = int(query.get("Most", "1000"))
         names = sorted(
--- a/tests/test_rent_and_return_duties.py
+++ b/tests/test_rent_and_return_duties.py
@@ -307,3 +307,21 @@
 
     await deployment.wait_until(lambda: not shard.machines, seconds=10.0)
     await finish_and_check(deployment)
+
+
+@simulated
+async def test_request_that_ends_before_the_answer_to_its_recording_is_not_kept(loop: Loop) -> None:
+    # Guards against an older answer that undoes what the watch has said since.
+    deployment = await start_with_duties(loop)
+    shard_leader = deployment.controllers[deployment.acting_shard_leader()].shard_leaders[0]
+    deployment.cloud.capacity = 0
+    deployment.store.transaction_delay_s["hire/"] = 1.0
+    await deployment.submit(deployment.job(1, Pieces=8, RunS=3.0))
+    await deployment.wait_until(lambda: bool(recorded_events(deployment, "no capacity")))
+
+    deployment.cloud.capacity = 12
+    deployment.store.transaction_delay_s.clear()
+    await finish_and_check(deployment)
+
+    stored = {key for key in deployment.store.keys if key.startswith("hire/")}
+    assert {f"hire/{name}" for name in shard_leader.context.intents.scale_outs} <= stored
