A load of a shard that fails leaves none of its scale-in records behind

Cause: the records of scale-ins were applied before the reads that may still fail, and the next load only added to them.

Change: they are applied after the last read, like all other records but the open jobs; the loader's docstring says why these are applied earlier.

Test: test_scale_in_that_ends_between_two_loads_of_a_shard_is_forgotten, red before.

--- a/basaltlead/shard/loader.py
+++ b/basaltlead/shard/loader.py
@@ -29,7 +29,12 @@
 
 
 class ShardLoader:
-    """Reads the records of a shard once, in an order in which none is missed."""
+    """Reads the records of a shard in an order in which none is missed.
+
+    A load that fails is repeated. It has applied nothing but the open jobs, since workers' leases
+    are renewed once these are known, and each listing of them replaces the one before (see
+    `OpenJobsWatch`). All other records are applied after the last read.
+    """
 
     def __init__(
         self,
@@ -49,22 +54,21 @@
         `answered_at` holds the time of the last response to each machine before it was loaded.
         Raises ServiceError; the caller retries.
         """
-        store, intents = self.context.store, self.context.intents
+        store = self.context.store
         requested_at = now_us()
         # Scale-ins are read concurrently with the jobs, so that they don't prolong a failover, and
         # before the machines, since a machine's record is deleted before or with its scale-in. In
         # the other order, a machine that is deleted between the two reads would be loaded without
         # its scale-in, as one that may get tasks.
-        jobs, (scale_ins, _) = await asyncio.gather(store.rows(OPEN), store.rows(SCALE_IN))
+        jobs, scale_ins = await asyncio.gather(store.rows(OPEN), store.rows(SCALE_IN))
         self.open_jobs_watch.load(jobs, requested_at)
-        for row in scale_ins:
-            intents.scale_ins[row.key] = msgspec.json.decode(row.value, type=StoredScaleIn)
-        returning = intents.returning
         machines, _ = await store.rows(MACHINE)
         scale_outs, _ = await store.rows(SCALE_OUT)
         teams, _ = await store.rows(TEAM)
         assignments = await store.rows(ASSIGNMENT) if self.context.sharded else RowList([], 0)
-        self._load_machines(machines, returning, answered_at)
+        # Nothing can fail from here on.
+        self._load_scale_ins(scale_ins.rows)
+        self._load_machines(machines, answered_at)
         self._load_scale_outs(scale_outs)
         self.rebalancer.load(assignments)
         self._load_teams(teams)
@@ -74,16 +78,20 @@
             self.context.number,
             len(self.context.shard.job_states),
             len(self.context.shard.machines),
-            len(intents.scale_outs),
+            len(self.context.intents.scale_outs),
             jobs.revision,
             (now_us() - requested_at) / US,
         )
         return jobs.revision
 
-    def _load_machines(
-        self, rows: list[Row], returning: set[str], answered_at: Mapping[str, int]
-    ) -> None:
+    def _load_scale_ins(self, rows: list[Row]) -> None:
+        for row in rows:
+            scale_in = msgspec.json.decode(row.value, type=StoredScaleIn)
+            self.context.intents.scale_ins[row.key] = scale_in
+
+    def _load_machines(self, rows: list[Row], answered_at: Mapping[str, int]) -> None:
         shard = self.context.shard
+        returning = self.context.intents.returning
         now = now_us()
         for row in rows:
             stored = msgspec.json.decode(row.value, type=StoredMachine)
--- a/tests/test_shard_loading.py
+++ b/tests/test_shard_loading.py
@@ -116,3 +116,18 @@
 
     assert deployment.controllers[new].shard_leaders
     deployment.assert_no_violation()
+
+
+@simulated
+async def test_scale_in_that_ends_between_two_loads_of_a_shard_is_forgotten(loop: Loop) -> None:
+    # Guards against a record of a failed load that stays although the next load has none.
+    deployment = Deployment(loop)
+    await deployment.store.start()
+    deployment.store.put("return/6-1", {"names": ["m-000001"], "token": 6, "at": 0})
+    deployment.store.put("return/6-2", {"names": ["m-000002"], "token": 6, "at": 0})
+    leader = await _fail_first_load(deployment)
+
+    deployment.store.drop("return/6-1")
+    await _load_again(deployment, leader)
+
+    assert list(leader.context.intents.scale_ins) == ["return/6-2"]
