Tasks of a hand-over wait no longer for good if the read after it fails

With several shards only; no caller has reported it.

What happens: a shard leader hands tasks to another shard and stops starting them. The record has changed meanwhile, so the hand-over is refused. The watch has reported that change, which is not applied to the job during a hand-over, and the read that was to make up for it fails: the tasks are assigned to this shard, which doesn't start them, and no further change comes. The same after a read that is older than what the watch has reported since.

Cause: a failed or outdated read was taken for "nothing to do".

Change: the read is repeated until it succeeds or the leader has stepped down, and the job then gets the newest assignment that is known.

Test: test_tasks_of_a_refused_hand_over_are_taken_back_although_the_first_read_fails, red before. tests/test_shard_loading.py, which it joins, is now tests/test_repeated_reads.py. The fake store can refuse reads of single keys too.

--- a/basaltlead/shard/rebalancer.py
+++ b/basaltlead/shard/rebalancer.py
@@ -20,6 +20,9 @@
 from basaltlead.storage.watch import KeyWatch
 from basaltlead.wire.store import Change, Precondition, Put
 
+MIN_RETRY_DELAY_US = 100_000
+MAX_RETRY_DELAY_US = 1_000_000
+
 
 class Rebalancer:
     """Watches the assignments of jobs, and moves waiting tasks to shards with free machines."""
@@ -66,9 +69,14 @@
             return  # outdated: this shard leader has changed the assignment since
         assignment = msgspec.json.decode(raw, type=TaskAssignment)
         self._assignments[ref] = Versioned(assignment, version)
+        if ref not in self._handing_over:
+            self._assign(ref)
+
+    def _assign(self, ref: str) -> None:
+        """Have this shard start the tasks that the newest known assignment gives it."""
         job_state = self.shard.job_states.get(ref)
-        if job_state is not None and ref not in self._handing_over:
-            job_state.assign(assignment.ranges_of(self.context.number))
+        if job_state is not None:
+            job_state.assign(self.ranges_of(ref))
             self.shard.request_plan()
             self.context.wake.set()
 
@@ -99,14 +107,10 @@
         ]
         try:
             await self._record(ref, changed, preconditions)
-            # Read again, since changes are not applied to the job while its tasks are handed over.
-            row = await self.context.store.get(ASSIGNMENT + ref)
-        except ServiceError:
-            row = None
+            await self._read_outcome(ref)
         finally:
             self._handing_over.discard(ref)
-        if row is not None and ref in self.shard.job_states:
-            self._apply_row(row.key, row.value, row.version)
+        self._assign(ref)
 
     def _has_orphaned_attempts(self, ref: str) -> bool:
         return any(
@@ -134,7 +138,7 @@
         self, ref: str, changed: TaskAssignment, preconditions: list[Precondition]
     ) -> None:
         """Retry writing the new assignment until it is certain whether it was written."""
-        backoff = Backoff(100_000, 1_000_000, self.context.membership.rng)
+        backoff = Backoff(MIN_RETRY_DELAY_US, MAX_RETRY_DELAY_US, self.context.membership.rng)
         store, key = self.context.store.client, ASSIGNMENT + ref
         while not self.context.lease.stepped_down:
             try:
@@ -152,6 +156,24 @@
                 log.info("tasks of job %s reassigned: %s", ref, changed.parts)
                 return
 
+    async def _read_outcome(self, ref: str) -> None:
+        """Retry reading the assignment of a job until that succeeds.
+
+        Changes that the watch reports are not applied to the job while its tasks are handed over.
+        If the last of them has come by then, only this read tells which tasks this shard starts
+        (test_tasks_of_a_refused_hand_over_are_taken_back_although_the_first_read_fails).
+        """
+        backoff = Backoff(MIN_RETRY_DELAY_US, MAX_RETRY_DELAY_US, self.context.membership.rng)
+        while not self.context.lease.stepped_down:
+            try:
+                row = await self.context.store.get(ASSIGNMENT + ref)
+            except ServiceError:
+                await backoff.wait()
+                continue
+            if row is not None:  # else the job has ended
+                self._apply_row(row.key, row.value, row.version)
+            return
+
     async def balance(self) -> None:
         """Publish the load of this shard twice a market round. If its waiting tasks need more CPUs
         than are free, hand some of them, all of one job, to the shard with the most free CPUs among
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -32,8 +32,9 @@
         self.next_lease = 0
         self.down = False
         self.refused_hosts: set[str] = set()  # only these hosts get 503, as in an outage
-        self.unlisted_prefixes: set[str] = set()  # lists of these prefixes get 503
-        self.refused_lists = 0  # lists answered so
+        # Lists of these prefixes, and reads of keys that begin so, get 503.
+        self.unreadable_prefixes: set[str] = set()
+        self.refused_reads = 0  # reads answered so
         # By prefix, in s: so much later come the answers to its lists, which are as old then, and
         # those to transactions whose first change is under it.
         self.list_delay_s: dict[str, float] = {}
@@ -126,13 +127,14 @@
             return reply(503, {"error": "trouble"})
         body = json.loads(request.body) if request.body else {}
         if path == "/kv":
-            if query["Starts"] in self.unlisted_prefixes:
-                self.refused_lists += 1
+            if self._is_unreadable(query["Starts"]):
                 return reply(503, {"error": "trouble"})
             listed = self._list(query)
             await asyncio.sleep(self.list_delay_s.get(query["Starts"], 0.0))
             return listed
         if path.startswith("/kv/"):
+            if self._is_unreadable(path[4:]):
+                return reply(503, {"error": "trouble"})
             found = self.keys.get(path[4:])
             if found is None:
                 return reply(404, {"Ledger": self.revision})
@@ -157,6 +159,11 @@
         self.leases[lease] = (self.loop.time() + ttl, ttl)
         return reply(200, {})
 
+    def _is_unreadable(self, key: str) -> bool:
+        refused = key.startswith(tuple(self.unreadable_prefixes))
+        self.refused_reads += refused
+        return refused
+
     def _delay_of(self, body: dict[str, Any]) -> float:
         changes = body.get("Apply", [])
         prefix = key_of(changes[0]).partition("/")[0] + "/" if changes else ""
--- a/tests/test_rent_and_return_duties.py
+++ b/tests/test_rent_and_return_duties.py
@@ -268,7 +268,7 @@
     await poll_until(lambda: deployment.shard_leader() not in (None, former), 0.001)
     leader = deployment.controllers[deployment.acting_shard_leader()].shard_leaders[0]
     await poll_until(lambda: leader.loaded, 0.001)
-    deployment.store.unlisted_prefixes.add(prefix)
+    deployment.store.unreadable_prefixes.add(prefix)
     return deployment
 
 
@@ -284,7 +284,7 @@
     await deployment.wait_until(lambda: not open_intents(deployment, "hire/"))
 
     deployment.cloud.capacity = 12
-    deployment.store.unlisted_prefixes.clear()
+    deployment.store.unreadable_prefixes.clear()
 
     await deployment.wait_until_done("req-000001")
     await finish_and_check(deployment)
@@ -303,7 +303,7 @@
     await deployment.wait_until(lambda: not open_intents(deployment, "return/"))
     assert shard.machines
 
-    deployment.store.unlisted_prefixes.clear()
+    deployment.store.unreadable_prefixes.clear()
 
     await deployment.wait_until(lambda: not shard.machines, seconds=10.0)
     await finish_and_check(deployment)
--- a/tests/test_shard_loading.py
+++ b/tests/test_repeated_reads.py
@@ -1,4 +1,4 @@
-"""Loading of a shard by a new shard leader while some of its reads fail, so that it loads again."""
+"""Reads of a shard leader that fail and are repeated, in a load of its shard and afterwards."""
 
 import json
 from typing import Any
@@ -22,9 +22,9 @@
 LEASE_S, CANCEL_S = 10.0, 30.0
 
 
-def _stored_job(deployment: Deployment, number: int) -> Any:
-    """Return the record of an accepted job with two tasks."""
-    submission = msgspec.convert(deployment.job(number, Pieces=2), Submission)
+def _stored_job(deployment: Deployment, number: int, tasks: int = 2) -> Any:
+    """Return the record of an accepted job."""
+    submission = msgspec.convert(deployment.job(number, Pieces=tasks), Submission)
     return json.loads(encode(StoredJob.of(submission, wall_us())))
 
 
@@ -34,19 +34,20 @@
     machine_type: MachineType = MACHINE_TYPE
     controller.machine_types[machine_type.name] = machine_type
     grant = Grant("node-0", "", FENCING_TOKEN)
-    return controller._start_shard_leader(0, Versioned(grant, deployment.store.revision + 1))
+    deployment.store.put("c/block/0", json.loads(encode(grant)))
+    return controller._start_shard_leader(0, Versioned(grant, deployment.store.revision))
 
 
 async def _fail_first_load(deployment: Deployment) -> ShardLeader:
     """Start a leader whose first load fails after it has listed the open jobs and the scale-ins."""
-    deployment.store.unlisted_prefixes.add("mach/")
+    deployment.store.unreadable_prefixes.add("mach/")
     leader = _start_leader(deployment)
-    await poll_until(lambda: deployment.store.refused_lists > 0, 0.001)
+    await poll_until(lambda: deployment.store.refused_reads > 0, 0.001)
     return leader
 
 
 async def _load_again(deployment: Deployment, leader: ShardLeader) -> None:
-    deployment.store.unlisted_prefixes.clear()
+    deployment.store.unreadable_prefixes.clear()
     await poll_until(lambda: leader.loaded, 0.001)
 
 
@@ -96,7 +97,7 @@
     deployment = Deployment(loop, lease=LEASE_S, cancel=CANCEL_S)
     old = await deployment.start_with_running_job(6, 500.0)
 
-    deployment.store.unlisted_prefixes.add("mach/")
+    deployment.store.unreadable_prefixes.add("mach/")
     deployment.crash(old)
     await poll_until(
         lambda: any(
@@ -110,7 +111,7 @@
     deployment.cut_from_store_and_peers(new)
     assert await deployment.cancel("req-000001", deployment.other_node(old, new)) == "withdrawn"
     loop.call_later(1.0, deployment.rejoin_store_and_peers, new, False)
-    deployment.store.unlisted_prefixes.clear()
+    deployment.store.unreadable_prefixes.clear()
     deployment.start_controller(old)
     await deployment.wait_until(lambda: not deployment.running_tasks("req-000001"), CANCEL_S)
 
@@ -131,3 +132,29 @@
     await _load_again(deployment, leader)
 
     assert list(leader.context.intents.scale_ins) == ["return/6-2"]
+
+
+@simulated
+async def test_tasks_of_a_refused_hand_over_are_taken_back_although_the_first_read_fails(
+    loop: Loop,
+) -> None:
+    # Guards against tasks that wait for good: they are assigned to this shard in a record that has
+    # changed during the hand-over, and whose read after it fails.
+    deployment = Deployment(loop, operator={"blocks": 2})
+    await deployment.store.start()
+    deployment.store.put("open/req-000001", _stored_job(deployment, 1, tasks=10))
+    deployment.store.put("lease/req-000001", {"parts": [[0, 10, 0]]})
+    leader = _start_leader(deployment)
+    await poll_until(lambda: leader.loaded, 0.001)
+    job_state = leader.shard.job_states["req-000001"]
+    assert job_state.waiting == 10
+
+    deployment.store.put("lease/req-000001", {"parts": [[0, 10, 0]]})  # a version that is not known
+    deployment.store.unreadable_prefixes.add("lease/")
+    hand_over = loop.create_task(leader.rebalancer._hand_over(job_state, 1))
+    await poll_until(lambda: deployment.store.refused_reads > 0, 0.001)
+    assert job_state.waiting == 5
+    deployment.store.unreadable_prefixes.clear()
+    await hand_over
+
+    assert job_state.waiting == 10
