A stopped attempt whose pushed start was never sent is removed, not kept bound for good

By the same course a cancelled job's usage stayed with its team, its machine was never returned, and a gang was not placed again.

Cause: an attempt that is stopped while its start is in flight is kept until a report shows its end. When the push then failed with nothing sent, it was to be sent again without a look at the stop; no start of a stopped attempt is sent, and no report tells of one that isn't on its machine.

Evidence: of a table of six ends of a start against nine things that may happen meanwhile, five cells were red, all of "nothing sent" after a stop, a cancellation or a drain, and so was the gang.

Change: AttemptTable.handle_unexecuted_start decides what becomes of a start that was provably not executed, for failed pushes and for answers that were lost: sent again, or removed if stopped. JobState.unbind removes an attempt only if it is its task's present one, since the push may fail after the task was started elsewhere; without that, three cells start it twice.

Tests: tests/test_starts_in_flight.py, 6 of 58 red before.

--- a/basaltlead/core/attempt_table.py
+++ b/basaltlead/core/attempt_table.py
@@ -45,8 +45,17 @@
         team.gpus += job_state.job.gpus
         return attempt
 
-    def resend_start(self, attempt: Attempt) -> None:
-        """Send the start command again, since it has provably not been executed."""
+    def handle_unexecuted_start(self, attempt: Attempt) -> None:
+        """Handle a start command that provably has not been executed and never will be: send it
+        again, or remove the attempt if it was stopped while the command was in flight.
+
+        Nobody else would remove it: no start of a stopped attempt is sent, and a report says
+        nothing about an attempt that was not sent to its machine
+        (test_attempt_whose_start_is_in_flight_never_stays_bound).
+        """
+        if attempt.stop_grace_s is not None:
+            self.remove(attempt, attempt.machine.idle_since)
+            return
         attempt.stage = PLANNED
         self._signals.push_queue[attempt.machine.name] = None
 
@@ -80,10 +89,10 @@
             self.stop(member, job.checkpoint_duration_s if may_save else 0.0)
 
     def remove(self, attempt: Attempt, now: int) -> None:
-        """Remove an attempt that provably is not on its machine."""
+        """Remove an attempt that provably is not on its machine, unless it was removed before."""
         job_state = attempt.job_state
         machine = attempt.machine
-        if not job_state.unbind(attempt.index):
+        if not job_state.unbind(attempt):
             return
         machine.attempts.pop(attempt.key, None)
         if attempt.stop_grace_s is None:
@@ -107,5 +116,5 @@
                 # The answer to the next heartbeat carries the start again.
                 attempt.start_unacknowledged = True
             elif not executed and attempt.stage == SENT:
-                self.resend_start(attempt)
+                self.handle_unexecuted_start(attempt)
                 self._signals.plan_needed = True
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -387,11 +387,13 @@
         self.live[attempt.index] = attempt
         self.live_unfinished_count += not self.is_done(attempt.index)
 
-    def unbind(self, index: int) -> bool:
-        """Remove the live attempt of a task; False if it has none."""
-        if self.live.pop(index, None) is None:
+    def unbind(self, attempt: Attempt) -> bool:
+        """Remove the live attempt of a task; False if it was removed before, whether or not its
+        task has another one by now."""
+        if self.live.get(attempt.index) is not attempt:
             return False
-        self.live_unfinished_count -= not self.is_done(index)
+        del self.live[attempt.index]
+        self.live_unfinished_count -= not self.is_done(attempt.index)
         return True
 
     @property
--- a/basaltlead/core/reconciliation.py
+++ b/basaltlead/core/reconciliation.py
@@ -175,7 +175,7 @@
         if attempt.sent_sequence and attempt.sent_sequence >= sequence:
             # The worker may not have had the start command yet when it sent this heartbeat.
             return
-        if attempt.stage == SENT and attempt.stop_grace_s is None:
-            self._attempts.resend_start(attempt)  # the answer with the start command was lost
+        if attempt.stage == SENT:
+            self._attempts.handle_unexecuted_start(attempt)  # the answer with the start was lost
         else:
             self._attempts.remove(attempt, now)
