follow_rows in a class of short methods, and OrphanedAttempt in a module of its own

Change: _RowFollower holds the keys and the callbacks; OrphanedAttempt, which refers to no other entity, moved as it was.

--- a/basaltlead/core/commands.py
+++ b/basaltlead/core/commands.py
@@ -2,8 +2,9 @@
 
 from msgspec import Struct
 
-from basaltlead.core.entities import Attempt, Machine, OrphanedAttempt
+from basaltlead.core.entities import Attempt, Machine
 from basaltlead.core.open_jobs import OpenJobs
+from basaltlead.core.orphaned_attempt import OrphanedAttempt
 from basaltlead.core.reports import WorkerReport
 from basaltlead.core.task_keys import AttemptKey, parse_task
 from basaltlead.core.task_states import (
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -8,6 +8,7 @@
 from basaltlead.core.machine_state import MachineState
 from basaltlead.core.machine_usage import MachineUsage
 from basaltlead.core.message_order import MessageOrder
+from basaltlead.core.orphaned_attempt import OrphanedAttempt
 from basaltlead.core.task_keys import AttemptKey, TaskKey
 from basaltlead.core.task_queue import TaskQueue, TaskRange
 from basaltlead.core.task_states import PLANNED, RUNNING
@@ -75,20 +76,6 @@
         return self.stage != PLANNED
 
 
-class OrphanedAttempt:
-    """An attempt that has ended or is no longer wanted, and that its worker still lists."""
-
-    __slots__ = ("ended", "forgettable", "start_unacknowledged")
-
-    def __init__(self, ended: bool, forgettable: bool, start_unacknowledged: bool = False) -> None:
-        self.ended = ended
-        # The worker may be told to forget it: it has no result that must be stored first.
-        self.forgettable = forgettable
-        # A start command may still arrive. The worker must keep the attempt in its list: it rejects
-        # a start of a listed attempt, but would execute one of an attempt that it has forgotten.
-        self.start_unacknowledged = start_unacknowledged
-
-
 class Machine:
     """A rented machine, from the point of view of its shard leader."""
 
--- a/basaltlead/core/task_reports.py
+++ b/basaltlead/core/task_reports.py
@@ -4,10 +4,11 @@
 from typing import Any
 
 from basaltlead.core.attempt_table import AttemptTable
-from basaltlead.core.entities import Attempt, JobState, Machine, OrphanedAttempt
+from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.failures import FailurePolicy
 from basaltlead.core.jobs import US
 from basaltlead.core.open_jobs import OpenJobs
+from basaltlead.core.orphaned_attempt import OrphanedAttempt
 from basaltlead.core.reports import ReportedTask
 from basaltlead.core.run_times import RunTimes
 from basaltlead.core.signals import Log
--- a/basaltlead/storage/watch.py
+++ b/basaltlead/storage/watch.py
@@ -19,6 +19,8 @@
 AfterRead = Callable[[int, bool], None]
 BeforeList = Callable[[], None]
 KnownKeys = Callable[[], Iterable[str]]
+PutRow = Callable[[str, msgspec.Raw, int], None]
+DropRow = Callable[[str], None]
 
 
 def _ignore_request() -> None:
@@ -89,12 +91,45 @@
                 await backoff.wait()
 
 
+class _RowFollower:
+    """Tells a caller row by row what a `KeyWatch` reads."""
+
+    def __init__(self, put: PutRow, drop: DropRow, known: KnownKeys) -> None:
+        self._put = put
+        self._drop = drop
+        self._known = known
+        self._keys: set[str] = set()  # of the rows that are stored as far as is known
+
+    async def run(self, watch: KeyWatch) -> None:
+        """Follow the keys of the watch; never returns."""
+        await watch.run(self._load, self._apply, before_list=self._before_list)
+
+    def _before_list(self) -> None:
+        self._keys.update(self._known())
+
+    def _load(self, listing: RowList) -> None:
+        for key in self._keys - {row.key for row in listing.rows}:
+            self._drop(key)
+        self._keys.clear()
+        for row in listing.rows:
+            self._keys.add(row.key)
+            self._put(row.key, row.value, row.version)
+
+    def _apply(self, change: Change) -> None:
+        if change.put is not None:
+            self._keys.add(change.put)
+            self._put(change.put, change.value, change.version)
+        elif change.drop is not None:
+            self._keys.discard(change.drop)
+            self._drop(change.drop)
+
+
 async def follow_rows(
     store: KeyValueStore,
     prefix: str,
     hold_ms: int,
-    put: Callable[[str, msgspec.Raw, int], None],
-    drop: Callable[[str], None],
+    put: PutRow,
+    drop: DropRow,
     known: KnownKeys = _no_keys,
 ) -> None:
     """Follow the keys under a prefix row by row; never returns.
@@ -105,28 +140,4 @@
     deleted before that list succeeds, and no change tells of it
     (test_request_without_capacity_is_not_awaited_if_it_ends_before_the_first_listing).
     """
-    keys: set[str] = set()
-
-    def before_list() -> None:
-        """Note what must be in the list unless it is deleted."""
-        keys.update(known())
-
-    def load(listing: RowList) -> None:
-        """Apply a list; keys that are no longer in it are dropped first."""
-        for key in keys - {row.key for row in listing.rows}:
-            drop(key)
-        keys.clear()
-        for row in listing.rows:
-            keys.add(row.key)
-            put(row.key, row.value, row.version)
-
-    def apply(change: Change) -> None:
-        """Apply one change."""
-        if change.put is not None:
-            keys.add(change.put)
-            put(change.put, change.value, change.version)
-        elif change.drop is not None:
-            keys.discard(change.drop)
-            drop(change.drop)
-
-    await KeyWatch(store, prefix, hold_ms).run(load, apply, before_list=before_list)
+    await _RowFollower(put, drop, known).run(KeyWatch(store, prefix, hold_ms))
