Machines are reserved for a gang only while that can come true, and waiting jobs pass reservations

Cause: in each plan anew, machines were reserved for the first gang that found no room, without asking whether they would ever be empty: replicas never end, and a task that had outrun its estimate counted as a second from its end.

Change: only machines that are expected to be empty within 300 s are reserved; a task that has outrun its estimate is expected to run for as long again; a job that has neither started nor ended a task for 60 s passes reservations, which holds whatever runs there, and whether it does is part of the requirements by which equal jobs are skipped. Preemption and renting are as they were.

--- a/basaltlead/core/array_placement.py
+++ b/basaltlead/core/array_placement.py
@@ -32,7 +32,7 @@
     def _start(self, job_state: JobState, limit: int) -> None:
         """Start up to `limit` tasks."""
         context = self._context
-        required = requirements(job_state)
+        required = requirements(job_state, context.machines)
         if limit <= 0 or context.is_unplaceable(required):
             return
         job = job_state.job
--- a/basaltlead/core/attempt_table.py
+++ b/basaltlead/core/attempt_table.py
@@ -37,6 +37,7 @@
         """Bind a task to a machine; its start command is sent once there is capacity for it."""
         attempt = Attempt(job_state, index, machine, attempt_number, now)
         job_state.bind(attempt)
+        job_state.progressed_at = now
         machine.attempts[attempt.key] = attempt
         machine.book(attempt)
         self._signals.push_queue[machine.name] = None
@@ -94,6 +95,7 @@
         machine = attempt.machine
         if not job_state.unbind(attempt):
             return
+        job_state.progressed_at = max(job_state.progressed_at, now)
         machine.attempts.pop(attempt.key, None)
         if attempt.stop_grace_s is None:
             machine.unbook(attempt)
--- a/basaltlead/core/candidate_machines.py
+++ b/basaltlead/core/candidate_machines.py
@@ -3,9 +3,13 @@
 from collections.abc import Iterable, Sequence
 
 from basaltlead.core.entities import JobState, Machine
-from basaltlead.core.jobs import EPS, Job, allowed
+from basaltlead.core.jobs import EPS, US, Job, allowed
 from basaltlead.core.shard import Shard
 
+# How long a reservation for a gang keeps a waiting job off the reserved machines. Users allow a
+# job to wait for 90 s while a machine has room for it.
+MAX_RESERVED_WAIT_US = 60 * US
+
 # What makes machines equivalent: type name, zone, spot or not, CPUs. CPUs are part of it since a
 # machine whose type was not listed yet when it was first heard of has 0 CPUs, unlike later machines
 # of the same type name. A plain tuple for speed, since each plan makes one per machine.
@@ -98,9 +102,19 @@
         return self._without_reserved_or_avoided(job_state, suited)
 
     def reserve(self, names: Iterable[str]) -> None:
-        """Start nothing more on these machines in this plan: a gang waits for them."""
+        """Start nothing more on these machines in this plan, since a gang waits for them, but tasks
+        of jobs that pass reservations."""
         self._reserved.update(names)
 
+    def passes_reservations(self, job_state: JobState) -> bool:
+        """Whether the job has waited for so long that no reservation keeps it waiting.
+
+        Nothing else bounds how long it would: what runs on the reserved machines may end at any
+        time or never
+        (test_small_job_waits_a_bounded_time_beside_machines_that_never_become_empty).
+        """
+        return self._now - job_state.progressed_at >= MAX_RESERVED_WAIT_US
+
     @property
     def has_reservation(self) -> bool:
         """Whether machines are reserved for a gang."""
@@ -111,11 +125,11 @@
     ) -> list[Machine]:
         """These machines, without those that are reserved or that the job avoids for a while."""
         avoided_until = job_state.failure_history.avoided_until
-        if not self._reserved and not avoided_until:
+        reserved = set() if self.passes_reservations(job_state) else self._reserved
+        if not reserved and not avoided_until:
             return machines
         return [
             machine
             for machine in machines
-            if machine.name not in self._reserved
-            and avoided_until.get(machine.name, 0) <= self._now
+            if machine.name not in reserved and avoided_until.get(machine.name, 0) <= self._now
         ]
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -270,6 +270,8 @@
         self.version = version  # of its record in the key-value store
         self.submitted_at = now - age_us
         self.started_at = 0  # when its first task ran
+        # When it was submitted, or a task of it was last bound to a machine or left one.
+        self.progressed_at = self.submitted_at
         self.closed = False  # cancelled or completed: nothing may start
 
         # Results: a bit per completed task, and the same for those that this shard recorded.
--- a/basaltlead/core/gang_placement.py
+++ b/basaltlead/core/gang_placement.py
@@ -11,6 +11,9 @@
 from basaltlead.core.task_states import EXECUTING
 
 RESERVE_AFTER_US = 20 * US  # the wait after which machines are reserved for a gang
+# Machines are reserved only if they are expected to be empty within this time. Most tasks run for a
+# minute or two; what is left for longer may run for ever, such as replicas of services.
+RESERVATION_HORIZON_US = 300 * US
 
 
 class GangCandidate(NamedTuple):
@@ -119,7 +122,7 @@
             return
         context = self._context
         job = job_state.job
-        required = requirements(job_state)
+        required = requirements(job_state, context.machines)
         if context.is_unplaceable(required) or not context.limits.allow(job, job.tasks):
             return
         machines = context.machines.for_job(job_state)
@@ -208,18 +211,21 @@
         """Reserve the machines that will be empty soonest for a gang that has waited for long.
 
         Otherwise single tasks would be started wherever room becomes free, and a large gang would
-        wait forever. Only one gang at a time has a reservation, the first in start order.
+        wait forever. Only one gang at a time has a reservation, the first in start order for which
+        enough machines are expected to be empty in time.
         """
         context = self._context
         waited_us = context.now - job_state.submitted_at
         if context.machines.has_reservation or waited_us < RESERVE_AFTER_US:
             return
         job = job_state.job
+        busy_us = {machine.name: self._busy_us(machine) for machine in machines}
         candidates = [
             GangCandidate(
-                float(self._busy_us(machine)), machine, machine.machine_type.capacity_for(job), []
+                float(busy_us[machine.name]), machine, machine.machine_type.capacity_for(job), []
             )
             for machine in machines
+            if busy_us[machine.name] <= RESERVATION_HORIZON_US
         ]
         split = cheapest_split(job, eligible_zones(job_state, context.machines.zones), candidates)
         if split is not None:
@@ -234,4 +240,6 @@
         if attempt.job_state.job.service:
             return estimated_run_us
         now = self._context.now
-        return max(estimated_run_us - (now - (attempt.running_since or now)), US)
+        ran_us = now - (attempt.running_since or now)
+        # A task that has outrun its estimate is expected to run for as long again beyond it.
+        return max(abs(estimated_run_us - ran_us), US)
--- a/basaltlead/core/plan_context.py
+++ b/basaltlead/core/plan_context.py
@@ -26,9 +26,10 @@
     one_zone: bool
     spread_zones: bool
     spot: bool
+    passes_reservations: bool
 
 
-def requirements(job_state: JobState) -> Requirements | None:
+def requirements(job_state: JobState, machines: CandidateMachines) -> Requirements | None:
     """The job's requirements; None if its placement also depends on its own state: the job avoids
     some machines, or its running tasks decide where the others may be placed."""
     job = job_state.job
@@ -47,6 +48,7 @@
         job.one_zone,
         job.spread_zones,
         job.spot,
+        machines.passes_reservations(job_state),
     )
 
 
--- a/basaltlead/core/replica_placement.py
+++ b/basaltlead/core/replica_placement.py
@@ -103,7 +103,7 @@
         lowest."""
         context = self._context
         job = job_state.job
-        required = requirements(job_state)
+        required = requirements(job_state, context.machines)
         if context.is_unplaceable(required) or not context.limits.allow(job):
             return
         ranking = self._ranking(job_state)
