--- a/tests/test_repeated_reads.py
+++ b/tests/test_repeated_reads.py
@@ -11,6 +11,7 @@
 from basaltlead.core.jobs import MachineType
 from basaltlead.runtime.clock import wall_us
 from basaltlead.shard.leader import ShardLeader
+from basaltlead.storage.client import RowList
 from basaltlead.storage.records import StoredJob
 from basaltlead.wire.users import Submission
 from tests.builders import MACHINE_TYPE
@@ -88,6 +89,27 @@
     assert leader.open_jobs_watch.orphaned_rows == ["open/req-000001/0.0"]
 
 
+@simulated
+async def test_job_of_which_only_results_are_left_is_closed_by_a_watch_that_lists_anew(
+    loop: Loop,
+) -> None:
+    # Guards against ran_cancelled in the same way, where a watch has missed changes.
+    deployment = Deployment(loop)
+    await deployment.store.start()
+    for number in (1, 2):
+        deployment.store.put(f"open/req-{number:06d}", _stored_job(deployment, number))
+    leader = _start_leader(deployment)
+    await poll_until(lambda: leader.loaded, 0.001)
+    assert _open_jobs(leader) == ["req-000001", "req-000002"]
+
+    rows, revision = await leader.context.store.rows("open/")
+    results = msgspec.Raw(encode(RESULT_ROW))
+    left = msgspec.structs.replace(rows[0], key="open/req-000001/0.0", value=results)
+    leader.open_jobs_watch._relist(RowList([left, rows[1]], revision))
+
+    assert _open_jobs(leader) == ["req-000002"]
+
+
 @simulated
 async def test_cancellation_holds_if_the_next_leader_loses_the_store_while_loading(
     loop: Loop,
