Log line of what a machine is told to forget, with the starts pushed before it

Need: a task stood on two machines at once. The records show that a machine carried out a start again 1.7 s after it was told to forget the attempt, but the log at info tells neither which starts were pushed to a machine, nor when it was told to forget them, nor which fencing token it had shown.

No change of behaviour.

--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -9,6 +9,7 @@
 from basaltlead.core.machine_usage import MachineUsage
 from basaltlead.core.message_order import MessageOrder
 from basaltlead.core.orphaned_attempt import OrphanedAttempt
+from basaltlead.core.pushed_starts import PushedStarts
 from basaltlead.core.task_keys import AttemptKey, TaskKey
 from basaltlead.core.task_queue import TaskQueue, TaskRange
 from basaltlead.core.task_states import PLANNED, RUNNING
@@ -106,6 +107,7 @@
         self.lease = WorkerLease(now)
         self.recovered_at = 0  # when it last reported again after it had been lost
         self.push_backoff_until = 0  # no commands are pushed until then
+        self.pushed_starts = PushedStarts()
 
         # Contents.
         self.attempts: dict[TaskKey, Attempt] = {}
--- a/basaltlead/shard/command_log.py
+++ b/basaltlead/shard/command_log.py
@@ -1,11 +1,13 @@
-"""Log lines at `debug` that show why a command was allowed, one for each start or halt."""
+"""Log lines that show why a command was allowed, and which starts a machine still knows."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from basaltlead.core.commands import TaskCommand
 from basaltlead.core.entities import Machine
+from basaltlead.core.pushed_starts import describe_attempts
 from basaltlead.core.shard import Shard
+from basaltlead.core.task_keys import AttemptKey
 from basaltlead.core.task_states import FORGET
 from basaltlead.runtime.logs import log
 
@@ -13,7 +15,7 @@
 def log_commands(
     shard: Shard, machine: Machine, commands: Iterable[TaskCommand], pushed: bool, now: int
 ) -> None:
-    """Log what the shard leader knew when it sent commands to a machine."""
+    """Log, at `debug`, what the shard leader knew for each start or halt that it sent."""
     if not log.isEnabledFor(logging.DEBUG):
         return
     for command in commands:
@@ -36,3 +38,26 @@
             machine.lease.describe(now),
             len(shard.unsynced),
         )
+
+
+def log_forgotten_attempts(
+    machine: Machine, commands: Sequence[TaskCommand], shown_token: int, sent_token: int, now: int
+) -> None:
+    """Log, in one line, what a machine is told to forget, and what was pushed to it before."""
+    forgotten = [
+        AttemptKey(command.ref, command.index, command.attempt_number)
+        for command in commands
+        if command.verb == FORGET
+    ]
+    if not forgotten:
+        return
+    log.info(
+        "machine %s told to forget %s: epoch %d, fencing token %d shown, %d sent; %s",
+        machine.name,
+        describe_attempts(forgotten, len(forgotten)),
+        machine.epoch,
+        shown_token,
+        sent_token,
+        machine.pushed_starts.describe(now),
+    )
+    machine.pushed_starts.clear()
--- a/basaltlead/shard/dispatcher.py
+++ b/basaltlead/shard/dispatcher.py
@@ -103,6 +103,7 @@
             if commands:
                 self._pushing.add(machine.name)
                 log_commands(shard, machine, commands, pushed=True, now=now)
+                machine.pushed_starts.add([start.attempt_key for start in starts], now)
                 push = PushedCommands(machine.epoch, commands, starts)
                 self.context.spawn(self._push(machine, push), f"push {machine.name}")
 
--- a/basaltlead/shard/heartbeats.py
+++ b/basaltlead/shard/heartbeats.py
@@ -6,7 +6,7 @@
 from basaltlead.net.http.messages import Response
 from basaltlead.runtime.clock import now_us
 from basaltlead.runtime.logs import log
-from basaltlead.shard.command_log import log_commands
+from basaltlead.shard.command_log import log_commands, log_forgotten_attempts
 from basaltlead.shard.context import ShardContext
 from basaltlead.shard.dispatcher import WorkerDispatcher, to_worker_command
 from basaltlead.wire.workers import Heartbeat, HeartbeatResponse
@@ -70,6 +70,9 @@
             return None
         machine = self.shard.machines[heartbeat.machine]
         log_commands(self.shard, machine, commands, pushed=False, now=now)
+        log_forgotten_attempts(
+            machine, commands, heartbeat.fencing_token, self.lease.fencing_token, now
+        )
         if machine.last_heartbeat_at == now:  # else the heartbeat was outdated or unproven
             shows_token = heartbeat.fencing_token == self.lease.fencing_token
             self._after_heartbeat(machine, shows_token, now)
