A machine forgets attempts only under a token above that of their starts

Cause: a right that had lapsed for us, not for the machine. A worker ignores a start of an attempt that it lists. Once it was told to forget the attempt, only the fencing token protects it, and the token is the same for as long as one leader has the shard. A late copy of the start, which had been carried out and answered, was carried out again.

Evidence: the records. The start of attempt was answered at 51.83, the attempt ended at 53.70 and was forgotten at 53.80.

Fix: a grant of a shard reserves a range of tokens, by the same write. A message that tells a machine to forget attempts raises that machine to a token above that of each start pushed to it, so the worker forgets and refuses at once. Starts are pushed only while such a token is left. Starts that were never answered need not stay listed any more. FORGET waits while a start is in flight, unless the list has grown.

--- a/basaltlead/cluster/election.py
+++ b/basaltlead/cluster/election.py
@@ -7,6 +7,7 @@
 from basaltlead.core.cluster_view import (
     FENCING_TOKEN,
     LEADER,
+    RESERVED_TOKENS,
     FencingTokenCounter,
     Grant,
     Versioned,
@@ -35,6 +36,7 @@
 
     def __init__(self, membership: Membership) -> None:
         self.membership = membership
+        self.tokens_per_shard_grant = RESERVED_TOKENS
         self.vacant_since: int | None = None  # None while a living leader is known
 
     async def run(self) -> None:
@@ -119,24 +121,28 @@
                 await self._grant(key)
 
     async def _grant(self, key: str) -> None:
-        """Grant a shard or duty with the next fencing token."""
+        """Grant a shard or duty with the next fencing token, a shard with some in reserve."""
         cluster = self.membership.cluster
         assert cluster.leader is not None
-        last_token = cluster.fencing_token or Versioned(FencingTokenCounter(0), 0)
+        counter = cluster.fencing_token or Versioned(FencingTokenCounter(0), 0)
+        is_duty = key in self.membership.duty_keys
+        tokens = counter.value.next_tokens(1 if is_duty else self.tokens_per_shard_grant)
         held = cluster.grants.get(key)
         target = cluster.next_holder(key, self.membership.name) or self.membership.name
         preconditions = [
             self.membership.precondition(),
             Precondition(LEADER, cluster.leader.version),
-            Precondition(FENCING_TOKEN, last_token.version),
+            Precondition(FENCING_TOKEN, counter.version),
             Precondition(key, held.version if held else 0),
         ]
         # The member preconditions fail unless the previous holder's lease has expired and the new
         # holder is alive.
         named = {held.value.name if held is not None else "", target} - {"", self.membership.name}
         preconditions += versions.member_preconditions(cluster, sorted(named))
-        grant = Grant(target, cluster.members[target].value.incarnation, last_token.value.last + 1)
-        if key in self.membership.duty_keys:
+        grant = Grant(target, cluster.members[target].value.incarnation, tokens.start)
+        if len(tokens) > 1:
+            grant.token_count = len(tokens)
+        if is_duty:
             # The grant fails if a member of an older version joins concurrently.
             preconditions += versions.member_preconditions(
                 cluster, cluster.members.keys() - named - {self.membership.name}
@@ -144,11 +150,11 @@
             grant.granted_at = wall_us()
         version = await self.membership.store.compare_and_swap(
             preconditions,
-            [Put(FENCING_TOKEN, FencingTokenCounter(grant.fencing_token)), Put(key, grant)],
+            [Put(FENCING_TOKEN, FencingTokenCounter(tokens[-1])), Put(key, grant)],
         )
         # Update the view that the grant was based on: the watch may have replaced
         # `membership.cluster` during the write by a view with a newer token.
-        cluster.note_fencing_token(FencingTokenCounter(grant.fencing_token), version)
+        cluster.note_fencing_token(FencingTokenCounter(tokens[-1]), version)
         cluster.note_grant(key, grant, version)
         log.info(
             "%s granted to %s with fencing token %d: revision %d, previous grant revision %d",
--- a/basaltlead/core/attempt_table.py
+++ b/basaltlead/core/attempt_table.py
@@ -14,18 +14,18 @@
 class AttemptTable:
     """Binds tasks to machines, and tracks the resources that teams use."""
 
-    def __init__(self, fencing_token: int, jobs: OpenJobs, signals: ShardSignals) -> None:
+    def __init__(self, first_token: int, jobs: OpenJobs, signals: ShardSignals) -> None:
         self.team_used: dict[str, TeamUsage] = {}
-        self._fencing_token = fencing_token
+        self._first_token = first_token
         self._started = 0
         self._jobs = jobs
         self._signals = signals
 
     def next_attempt_number(self) -> int:
         """The number of a new attempt. It is unique without a write to the store, since it contains
-        the fencing token."""
+        the first fencing token of the grant."""
         self._started += 1
-        return (self._fencing_token << ATTEMPT_COUNTER_BITS) | self._started
+        return (self._first_token << ATTEMPT_COUNTER_BITS) | self._started
 
     def used(self, team: str) -> TeamUsage:
         """What a team's tasks use, including those that only may be on their machines."""
--- a/basaltlead/core/cluster_view.py
+++ b/basaltlead/core/cluster_view.py
@@ -20,6 +20,10 @@
 DUTY_PREFIX = "c/duty/"
 FENCING_TOKEN = "c/baton"
 
+# Fencing tokens that are reserved at a time for a shard leader. Attempt numbers contain the first
+# token of a grant in 40 of their 64 bits: enough for 16 million grants.
+RESERVED_TOKENS = 1 << 16
+
 # Safety margins on the validity of a session lease: a fraction of its duration, for the drift of
 # our clock against the key-value store's, and the resolution of timers.
 CLOCK_DRIFT_DIVISOR = 500
@@ -77,7 +81,8 @@
     """The value of the key of a shard or a duty.
 
     After its release, `name` and `incarnation` are empty, and `avoid` is the member that released
-    it.
+    it. `token_count` is the number of tokens that the grant reserves, `fencing_token` being the
+    first; unset in grants of duties and in those of versions that reserved no others.
     """
 
     name: str
@@ -85,6 +90,13 @@
     fencing_token: int
     avoid: str = ""
     granted_at: int | UnsetType = UNSET  # microseconds since 1970; of duties only
+    token_count: int | UnsetType = UNSET
+
+    @property
+    def tokens(self) -> range:
+        """The fencing tokens that the grant reserves."""
+        count = 1 if self.token_count is UNSET else self.token_count
+        return range(self.fencing_token, self.fencing_token + count)
 
 
 class Load(Struct):
@@ -95,10 +107,14 @@
 
 
 class FencingTokenCounter(Struct):
-    """The last fencing token that was issued."""
+    """The last fencing token that was issued or reserved."""
 
     last: int
 
+    def next_tokens(self, count: int) -> range:
+        """The next tokens, which are reserved once the counter stands at the last of them."""
+        return range(self.last + 1, self.last + 1 + count)
+
 
 class Versioned(Struct, Generic[V], frozen=True):
     """The value of a key, and its version: the revision of its last change."""
--- a/basaltlead/core/commands.py
+++ b/basaltlead/core/commands.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from basaltlead.core.entities import Attempt, Machine
+from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.open_jobs import OpenJobs
 from basaltlead.core.orphaned_attempt import OrphanedAttempt
 from basaltlead.core.reports import WorkerReport
@@ -20,6 +21,10 @@
 )
 
 MAX_COMMANDS = 250  # per message, which keeps it well below 64 KiB
+# While a start is in flight, a machine is not told to forget attempts, since the higher token would
+# have it refuse the start. With more ended attempts than this it is: its report, at about 100 bytes
+# for an attempt, must stay far below 64 KiB.
+MAX_DEFERRED_FORGETS = 100
 
 
 class TaskCommand(Struct):
@@ -35,8 +40,9 @@
 class CommandGenerator:
     """Generates the commands that answer heartbeats and those that are pushed."""
 
-    def __init__(self, jobs: OpenJobs) -> None:
+    def __init__(self, jobs: OpenJobs, tokens: FencingTokens) -> None:
         self._jobs = jobs
+        self._tokens = tokens
 
     # Answers to heartbeats
 
@@ -53,17 +59,20 @@
         return commands[:MAX_COMMANDS]
 
     def _orphan_commands(self, machine: Machine) -> list[TaskCommand]:
-        """HALT for orphaned attempts that have not ended, and FORGET for ended ones that the worker
-        can drop: their start is acknowledged, and no result would be lost."""
-        commands: list[TaskCommand] = []
+        """HALT for orphaned attempts that have not ended, and FORGET for ended ones whose result
+        would not be lost; the rest is sent with the next answer."""
+        halts: list[TaskCommand] = []
+        forgets: list[TaskCommand] = []
         for key, orphan in machine.orphaned_attempts.items():
             if not orphan.ended:
-                commands.append(TaskCommand(HALT, *key, 0.0))
-            elif not orphan.start_unacknowledged and self._is_forgettable(key, orphan):
-                commands.append(TaskCommand(FORGET, *key))
-            if len(commands) >= MAX_COMMANDS:
-                break  # the rest is sent with the next answer
-        return commands
+                halts.append(TaskCommand(HALT, *key, 0.0))
+            elif self._is_forgettable(key, orphan):
+                forgets.append(TaskCommand(FORGET, *key))
+            if len(halts) + len(forgets) >= MAX_COMMANDS:
+                break
+        if not forgets or _defers_forgets(machine) or not self._tokens.allow_forget(machine):
+            return halts
+        return halts + forgets
 
     def halts_for_closed_jobs(self, heartbeat: WorkerReport) -> list[TaskCommand]:
         """Halts for tasks of closed jobs, on a machine that has not sent our fencing token.
@@ -95,7 +104,11 @@
                 continue
             attempt.pushed_grace_s = attempt.stop_grace_s
             commands.append(_task_command(HALT, attempt, attempt.stop_grace_s))
+        if not self._tokens.allow_push(machine):
+            return commands, []  # the answer to the next heartbeat carries the starts
         pushed_starts = [attempt for attempt in _startable(machine) if attempt.stage == PLANNED]
+        if pushed_starts:
+            self._tokens.note_pushed_starts(machine)
         for attempt in pushed_starts:
             attempt.stage = SENT
             attempt.start_in_flight = True
@@ -105,9 +118,7 @@
     # Returning machines
 
     def is_returnable(self, machine: Machine) -> bool:
-        """Whether the machine can be returned without losing work or results. An ended attempt
-        whose start may still arrive stays listed until its agent epoch ends, but does not prevent
-        the return of the machine."""
+        """Whether the machine can be returned without losing work or results."""
         return not machine.attempts and all(
             orphan.ended and self._is_forgettable(key, orphan)
             for key, orphan in machine.orphaned_attempts.items()
@@ -129,6 +140,13 @@
     )
 
 
+def _defers_forgets(machine: Machine) -> bool:
+    """Whether FORGET waits for the answer to a start in flight."""
+    return len(machine.orphaned_attempts) <= MAX_DEFERRED_FORGETS and any(
+        attempt.start_in_flight for attempt in machine.attempts.values()
+    )
+
+
 def _stop_commands(machine: Machine) -> list[TaskCommand]:
     """Halts for attempts that are to stop. A start that was never acknowledged is sent again before
     its halt: the worker then lists the attempt, and ignores a copy of the start that arrives
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -106,6 +106,8 @@
         self.last_heartbeat_at = 0
         self.lease = WorkerLease(now)
         self.recovered_at = 0  # when it last reported again after it had been lost
+        self.fencing_token = 0  # of the latest message to it; 0: none was sent
+        self.push_token = 0  # the highest under which starts may have been pushed to it
         self.push_backoff_until = 0  # no commands are pushed until then
         self.pushed_starts = PushedStarts()
 
--- a/basaltlead/core/reconciliation.py
+++ b/basaltlead/core/reconciliation.py
@@ -12,6 +12,7 @@
 
 from basaltlead.core.attempt_table import AttemptTable
 from basaltlead.core.entities import Attempt, Machine
+from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.fleet import Fleet
 from basaltlead.core.reports import ReportedTask, WorkerReport
 from basaltlead.core.task_keys import PlainAttemptKey, parse_task
@@ -38,13 +39,13 @@
 
     def __init__(
         self,
-        fencing_token: int,
+        tokens: FencingTokens,
         timing: Timing,
         fleet: Fleet,
         attempts: AttemptTable,
         task_reports: TaskReports,
     ) -> None:
-        self._fencing_token = fencing_token
+        self._tokens = tokens
         self._timing = timing
         self._fleet = fleet
         self._attempts = attempts
@@ -61,12 +62,16 @@
         test_late_copy_of_an_old_heartbeat_is_ignored).
         """
         messages = machine.messages
-        if heartbeat.fencing_token > self._fencing_token or heartbeat.epoch < messages.min_epoch:
+        if self._tokens.are_replaced_by(heartbeat.fencing_token):
+            return REFUSED
+        if heartbeat.epoch < messages.min_epoch:
             return REFUSED
         if (heartbeat.epoch, heartbeat.sequence) <= (messages.epoch, messages.heartbeat_sequence):
             return OUTDATED
-        has_token = heartbeat.fencing_token == self._fencing_token
-        if not has_token:
+        has_token = self._tokens.contains(heartbeat.fencing_token)
+        if has_token:
+            self._tokens.note_shown(machine, heartbeat.fencing_token)
+        else:
             messages.token_missing_since = messages.token_missing_since or now
             if now - messages.token_missing_since > self._timing.lease_us:
                 return REFUSED
@@ -128,7 +133,10 @@
         if answer.epoch < messages.epoch:
             return
         self._fleet.confirm_reachable(machine)
-        if answer.sequence <= messages.sequence or answer.fencing_token != self._fencing_token:
+        if not self._tokens.contains(answer.fencing_token):
+            return
+        self._tokens.note_shown(machine, answer.fencing_token)
+        if answer.sequence <= messages.sequence:
             return
         listed = self._apply_tasks(machine, answer.tasks, True, now)
         self._finish_list(machine, listed, True, now)
--- a/basaltlead/core/shard.py
+++ b/basaltlead/core/shard.py
@@ -7,6 +7,7 @@
 from basaltlead.core.draining import Drainer
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.failures import FailurePolicy
+from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.fleet import Fleet
 from basaltlead.core.jobs import Job
 from basaltlead.core.open_jobs import OpenJobs
@@ -33,30 +34,30 @@
 
     def __init__(
         self,
-        fencing_token: int,
+        tokens: FencingTokens,
         version: int,
         now: int,
         timing: Timing,
         teams: dict[str, TeamQuota],
         log: Log = _no_log,
     ) -> None:
-        self.fencing_token = fencing_token
+        self.tokens = tokens
         self.version = version  # of the grant: no other leader has started jobs accepted later
         self.acquired_at = now
         self.timing = timing
         self.teams = teams
         self._signals = ShardSignals()
         self._jobs = OpenJobs(self._signals)
-        self._attempts = AttemptTable(fencing_token, self._jobs, self._signals)
-        self._fleet = Fleet(fencing_token, self._attempts, self._signals, log)
+        self._attempts = AttemptTable(tokens.first, self._jobs, self._signals)
+        self._fleet = Fleet(tokens.first, self._attempts, self._signals, log)
         self._failures = FailurePolicy(self._jobs, self._fleet.machines, log)
         self._run_times = RunTimes()
         self._stragglers = StragglerDetector(self._attempts, self._run_times, log)
         self._drainer = Drainer(self._attempts, timing)
-        self._commands = CommandGenerator(self._jobs)
+        self._commands = CommandGenerator(self._jobs, tokens)
         task_reports = TaskReports(self._jobs, self._attempts, self._failures, self._run_times, log)
         self._reconciler = HeartbeatReconciler(
-            fencing_token, timing, self._fleet, self._attempts, task_reports
+            tokens, timing, self._fleet, self._attempts, task_reports
         )
         # Direct references, since planning and fleet sizing iterate over these often.
         self.job_states = self._jobs.by_ref
--- a/basaltlead/core/task_reports.py
+++ b/basaltlead/core/task_reports.py
@@ -75,9 +75,7 @@
         reason = reported.why or ExitReason.ERROR
         completed = reason == ExitReason.DONE and not job.service  # replicas have no result
         machine.orphaned_attempts[attempt.attempt_key] = OrphanedAttempt(
-            ended=True,
-            forgettable=not completed,
-            start_unacknowledged=attempt.start_unacknowledged or attempt.start_in_flight,
+            ended=True, forgettable=not completed
         )
         ran_long = job.service and self._failures.record_replica_end(attempt, reason, now)
         if completed:
--- a/basaltlead/shard/command_log.py
+++ b/basaltlead/shard/command_log.py
@@ -31,7 +31,7 @@
             command.attempt_number,
             "pushed" if pushed else "answered",
             machine.name,
-            shard.fencing_token,
+            shard.tokens.of(machine),
             shard.version,
             job_state.version if job_state is not None else 0,
             machine.epoch,
--- a/basaltlead/shard/dispatcher.py
+++ b/basaltlead/shard/dispatcher.py
@@ -32,13 +32,14 @@
 
 
 class PushedCommands(NamedTuple):
-    """Commands for a machine, and the agent epoch for which they were decided.
+    """Commands for a machine, and the agent epoch and token for which they were decided.
 
     When they are sent, the machine may already be known to be in its next epoch. The attempts that
     they would start have then been dropped
     (test_push_decided_in_one_epoch_is_not_executed_in_the_next).
     """
 
+    fencing_token: int
     epoch: int
     commands: list[TaskCommand]
     starts: list[Attempt]
@@ -104,7 +105,7 @@
                 self._pushing.add(machine.name)
                 log_commands(shard, machine, commands, pushed=True, now=now)
                 machine.pushed_starts.add([start.attempt_key for start in starts], now)
-                push = PushedCommands(machine.epoch, commands, starts)
+                push = PushedCommands(shard.tokens.of(machine), machine.epoch, commands, starts)
                 self.context.spawn(self._push(machine, push), f"push {machine.name}")
 
     async def _push(self, machine: Machine, push: PushedCommands) -> None:
@@ -132,7 +133,7 @@
         """Send commands. Returns whether they were executed, and the report in the machine's
         response."""
         worker_commands = [to_worker_command(command) for command in push.commands]
-        request = DirectCommand(self.lease.fencing_token, push.epoch, worker_commands)
+        request = DirectCommand(push.fencing_token, push.epoch, worker_commands)
         return await self.workers.command(machine.address, request, self._holds_valid_lease)
 
     def record(self, machine: Machine) -> None:
@@ -214,7 +215,7 @@
                 if not self.lease.holds_valid_lease or not known:
                     return
                 try:
-                    request = DirectCommand(self.lease.fencing_token, epoch, [])
+                    request = DirectCommand(self.shard.tokens.of(machine), epoch, [])
                     async with self._probe_slots:
                         executed, heartbeat = await self.workers.command(
                             machine.address, request, self._holds_valid_lease
--- a/basaltlead/shard/heartbeats.py
+++ b/basaltlead/shard/heartbeats.py
@@ -3,7 +3,7 @@
 from basaltlead.clients.codec import encode
 from basaltlead.core.commands import TaskCommand
 from basaltlead.core.entities import Machine
-from basaltlead.net.http.messages import Response
+from basaltlead.net.http.messages import STATUS_OK, Response
 from basaltlead.runtime.clock import now_us
 from basaltlead.runtime.logs import log
 from basaltlead.shard.command_log import log_commands, log_forgotten_attempts
@@ -33,11 +33,11 @@
         if not self.lease.holds_valid_lease:
             return None
         now = now_us()
-        if heartbeat.fencing_token > self.lease.fencing_token:
+        if self.shard.tokens.are_replaced_by(heartbeat.fencing_token):
             return None
         if not self._loaded:
             self.answered_while_loading[heartbeat.machine] = now
-            return self._renewal(self.shard.halts_for_closed_jobs(heartbeat))
+            return self._renewal_of_unknown(heartbeat)
         if heartbeat.machine in self.shard.machines:
             return self._apply(heartbeat, now)
         return self._handle_unknown(heartbeat, now)
@@ -53,7 +53,7 @@
         if heartbeat.machine in self.shard.deleted_machines:
             return None
         if heartbeat.fencing_token < self.lease.fencing_token:
-            return self._renewal(self.shard.halts_for_closed_jobs(heartbeat))
+            return self._renewal_of_unknown(heartbeat)
         self._register_machine(heartbeat, now)
         return self._apply(heartbeat, now)
 
@@ -70,15 +70,14 @@
             return None
         machine = self.shard.machines[heartbeat.machine]
         log_commands(self.shard, machine, commands, pushed=False, now=now)
-        log_forgotten_attempts(
-            machine, commands, heartbeat.fencing_token, self.lease.fencing_token, now
-        )
+        token = self.shard.tokens.of(machine)
+        log_forgotten_attempts(machine, commands, heartbeat.fencing_token, token, now)
         if machine.last_heartbeat_at == now:  # else the heartbeat was outdated or unproven
-            shows_token = heartbeat.fencing_token == self.lease.fencing_token
+            shows_token = self.shard.tokens.contains(heartbeat.fencing_token)
             self._after_heartbeat(machine, shows_token, now)
         if self.shard.plan_needed:
             self.context.wake.set()
-        return self._renewal(commands)
+        return _renewal(token, commands)
 
     def _register_machine(self, heartbeat: Heartbeat, now: int) -> None:
         machine_type = self.context.machine_type(heartbeat.type)
@@ -94,7 +93,12 @@
         if machine.unreachable_since or not machine.synced:
             self.dispatcher.probe(machine)
 
-    def _renewal(self, commands: list[TaskCommand]) -> Response:
-        worker_commands = [to_worker_command(command) for command in commands]
-        body = HeartbeatResponse(self.lease.fencing_token, worker_commands)
-        return Response(200, encode(body))
+    def _renewal_of_unknown(self, heartbeat: Heartbeat) -> Response:
+        """Renew the lease of a machine of which nothing is known yet."""
+        token = max(self.lease.fencing_token, heartbeat.fencing_token)
+        return _renewal(token, self.shard.halts_for_closed_jobs(heartbeat))
+
+
+def _renewal(token: int, commands: list[TaskCommand]) -> Response:
+    worker_commands = [to_worker_command(command) for command in commands]
+    return Response(STATUS_OK, encode(HeartbeatResponse(token, worker_commands)))
--- a/basaltlead/shard/leader.py
+++ b/basaltlead/shard/leader.py
@@ -5,6 +5,7 @@
 
 from basaltlead.clients.backoff import Backoff
 from basaltlead.config.settings import Settings
+from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.jobs import US
 from basaltlead.core.market import Market
 from basaltlead.core.shard import Shard
@@ -144,7 +145,7 @@
     workers = settings.facts.workers
     timing = Timing(int(workers.lease_s * US), int(workers.report_s * US))
     return Shard(
-        lease.fencing_token,
+        FencingTokens(lease.grant.tokens),
         lease.version,
         now_us(),
         timing,
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -46,6 +46,10 @@
         self.old_version_nodes: set[str] = set()  # they run the last version without services
         self.write_rps = 200.0  # changes per second that the settings allow
         self.heartbeat_copy_rate = 0.0  # share of heartbeats that arrive a second time, late
+        # Share of pushed commands that arrive a second time, late by this span in s
+        self.command_copy_share = 0.0
+        self.command_copy_span_s = (0.1, 2.0 * lease)
+        self.copy_rng = random.Random(seed)  # of its own: other draws don't depend on copies
         self.caches_images = False  # whether a task starts at once if its machine has its image
         self.store = FakeKeyValueStore(loop)
         self.cloud = FakeCloud(self)
