--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -282,6 +282,67 @@
     deployment.assert_no_violation()
 
 
+@simulated
+async def test_old_controller_that_takes_over_is_obeyed_by_all_machines(loop: Loop) -> None:
+    deployment = Deployment(loop)
+    await deployment.start()
+    await deployment.submit(deployment.job(1, Pieces=4, RunS=60.0, GuessS=60.0))
+    await deployment.submit(deployment.job(2, Pieces=40, RunS=1.0))
+    await deployment.wait_until_done("req-000002")
+    shard_leader = deployment.acting_shard_leader()
+    lease = deployment.controllers[shard_leader].shard_leaders[0].lease
+    busy = {deployment.rule_checker.running_on[f"req-000001/{index}"] for index in range(4)}
+    assert all(machine.fencing_token > lease.fencing_token for machine in busy)
+
+    for name in deployment.other_nodes(shard_leader):
+        deployment.crash(name)
+        deployment.old_version_nodes.add(name)
+        deployment.start_controller(name)
+    await asyncio.sleep(3.0)
+    deployment.crash(shard_leader)
+    await deployment.wait_until(lambda: deployment.shard_leader() not in (None, shard_leader))
+    await deployment.submit(deployment.job(3, Pieces=8, RunS=1.0))
+    await deployment.wait_until_done("req-000001", "req-000003")
+
+    old_leader = deployment.acting_shard_leader()
+    assert old_leader in deployment.old_version_nodes
+    token = deployment.controllers[old_leader].shard_leaders[0].lease.fencing_token
+    machines = deployment.cloud.machines.values()
+    assert {machine.fencing_token for machine in machines} == {token}
+    assert deployment.rule_checker.starts_of("req-000001") == 4
+    deployment.assert_no_violation()
+
+
+@simulated
+async def test_shard_leader_whose_grant_is_of_an_old_leader_reserves_tokens(loop: Loop) -> None:
+    deployment = Deployment(loop, operator={"blocks": 3})
+    deployment.old_version_nodes = {"node-0"}
+    deployment.start_controller("node-0")
+    await deployment.store.start()
+    await deployment.cloud.start()
+    await deployment.wait_until(lambda: deployment.shard_leader(0) == "node-0")
+    for name in ("node-1", "node-2"):
+        deployment.start_controller(name)
+    await deployment.wait_until(
+        lambda: any(deployment.shard_leader(shard) not in (None, "node-0") for shard in range(3))
+    )
+    granted = [
+        leader
+        for name in ("node-1", "node-2")
+        for leader in deployment.controllers[name].shard_leaders.values()
+    ]
+    assert all(len(leader.lease.grant.tokens) == 1 for leader in granted)
+
+    await deployment.wait_until(lambda: all(leader.shard.tokens.unused for leader in granted))
+
+    tokens = [leader.shard.tokens for leader in granted]
+    last = deployment.store.keys["c/baton"][0]["last"]
+    assert [own.contains(last) for own in tokens].count(True) == 1
+    await deployment.submit(deployment.job(1, Pieces=30, RunS=1.0))
+    await deployment.wait_until_done("req-000001")
+    deployment.assert_no_violation()
+
+
 @simulated
 async def test_chunked_results_are_kept_while_an_old_controller_leads_the_shard(loop: Loop) -> None:
     deployment = Deployment(loop, announced_limits={"value_kb": 0.5, "txn_ops": 4})
