Attempt numbers stay unique beyond 16 million starts under one grant

Cause: the number was the grant's token shifted by 24 bits, or-ed with a counter that has no end. From start 2^24 on the counter's bit met that of an odd token, and numbers came a second time.

Nobody has seen it: found while asking what is made from tokens. A worker ignores a start of an attempt that it lists, and gangs find each other by the number.

Fix: addition. The numbers after the first 2^24 are those of the next token, which the grant reserves too.

Test: test_attempt_numbers_stay_unique_beyond_the_bits_of_their_counter failed before: 4 different numbers of 5.

--- a/basaltlead/core/attempt_table.py
+++ b/basaltlead/core/attempt_table.py
@@ -8,7 +8,7 @@
 from basaltlead.core.task_states import PLANNED, RUNNING, SENT
 from basaltlead.core.teams import TeamUsage
 
-ATTEMPT_COUNTER_BITS = 24  # allows 16 million attempts under one fencing token
+ATTEMPT_COUNTER_BITS = 24  # 16 million attempts, then the next of the grant's tokens is used
 
 
 class AttemptTable:
@@ -23,9 +23,9 @@
 
     def next_attempt_number(self) -> int:
         """The number of a new attempt. It is unique without a write to the store, since it contains
-        the first fencing token of the grant."""
+        a fencing token that the grant reserved."""
         self._started += 1
-        return (self._first_token << ATTEMPT_COUNTER_BITS) | self._started
+        return (self._first_token << ATTEMPT_COUNTER_BITS) + self._started
 
     def used(self, team: str) -> TeamUsage:
         """What a team's tasks use, including those that only may be on their machines."""
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from basaltlead.core.attempt_table import ATTEMPT_COUNTER_BITS
 from basaltlead.core.cluster_view import RESERVED_TOKENS, FencingTokenCounter, Grant
 from basaltlead.core.commands import MAX_DEFERRED_FORGETS
 from basaltlead.core.entities import Machine
@@ -144,6 +145,21 @@
     assert harness.shard.job_states["req-000001"].done_count > 25 * TASKS_PER_S
 
 
+# Attempt numbers
+
+
+def test_attempt_numbers_stay_unique_beyond_the_bits_of_their_counter() -> None:
+    # Guards against a start that a worker takes for a copy of an earlier one.
+    harness = ShardHarness()
+    first = harness.shard.next_attempt_number()
+    harness.shard._attempts._started = (1 << ATTEMPT_COUNTER_BITS) - 2
+
+    numbers = [harness.shard.next_attempt_number() for _ in range(4)]
+
+    assert len({first, *numbers}) == 5
+    assert all(number >> ATTEMPT_COUNTER_BITS in TOKENS for number in numbers)
+
+
 # How many tokens there are
 
 
