--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -155,6 +155,12 @@
                 task.cancel()
         self.net.power_off(self.host(name))
 
+    async def restart(self, name: str, downtime_s: float) -> None:
+        """Crash a controller, and start it again after its downtime."""
+        self.crash(name)
+        await asyncio.sleep(downtime_s)
+        self.start_controller(name)
+
     def freeze(self, name: str) -> None:
         """Suspend a controller; its clocks run on."""
         self.loop.freeze(self.host(name))
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -36,9 +36,7 @@
     shard_leader = await deployment.start_with_running_job(6, 30.0)
     starts = deployment.rule_checker.starts
 
-    deployment.crash(shard_leader)
-    await asyncio.sleep(1.0)
-    deployment.start_controller(shard_leader)
+    await deployment.restart(shard_leader, 1.0)
 
     await deployment.wait_until_done("req-000001")
     assert deployment.rule_checker.starts == starts  # no task was restarted
--- a/tests/test_failing_reads.py
+++ b/tests/test_failing_reads.py
@@ -105,9 +105,7 @@
         for leader in deployment.controllers[name].shard_leaders.values():
             leader.lease.step_down()
         return
-    deployment.crash(name)
-    await asyncio.sleep(rng.uniform(0.3, 3.0))
-    deployment.start_controller(name)
+    await deployment.restart(name, rng.uniform(0.3, 3.0))
 
 
 async def _submit_jobs(deployment: Deployment, rng: random.Random) -> None:
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -62,9 +62,7 @@
     """The controller that confirmed the cancellation restarts."""
     first = deployment.other_node(shard_leader)
     await _confirmed_at_once(deployment, shard_leader, ref)
-    deployment.crash(first)
-    await asyncio.sleep(0.3)
-    deployment.start_controller(first)
+    await deployment.restart(first, 0.3)
     await asyncio.sleep(0.3)
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -134,9 +134,7 @@
         await deployment.submit(deployment.job(number, Pieces=3, RunS=10.0))
     for restart_number in range(12):
         name = deployment.nodes[restart_number % 3] if restart_number % 2 else first_leader
-        deployment.crash(name)
-        await asyncio.sleep(0.15)
-        deployment.start_controller(name)
+        await deployment.restart(name, 0.15)
         await asyncio.sleep(0.4 + 0.3 * (restart_number % 4))
         deployment.shard_leader()  # fails if two act
         deployment.rule_checker.check()
@@ -162,9 +160,7 @@
     deployment.store.down = True
     await asyncio.sleep(1)
     for name in deployment.nodes:
-        deployment.crash(name)
-        await asyncio.sleep(0.2)
-        deployment.start_controller(name)
+        await deployment.restart(name, 0.2)
     await asyncio.sleep(20)
     deployment.rejoin("node-1")
     deployment.store.end_outage()
--- a/tests/test_late_start_campaign.py
+++ b/tests/test_late_start_campaign.py
@@ -26,9 +26,7 @@
     name = deployment.shard_leader() if rng.random() < 0.7 else rng.choice(deployment.nodes)
     if name is None:
         return
-    deployment.crash(name)
-    await asyncio.sleep(rng.choice([0.1, 0.7, 3.0]))
-    deployment.start_controller(name)
+    await deployment.restart(name, rng.choice([0.1, 0.7, 3.0]))
 
 
 async def _restart_all(deployment: Deployment, rng: random.Random) -> None:
--- a/tests/test_late_start_copies.py
+++ b/tests/test_late_start_copies.py
@@ -81,9 +81,7 @@
 
 async def _leader_back_within_a_second(deployment: Deployment) -> None:
     name = deployment.acting_shard_leader()
-    deployment.crash(name)
-    await asyncio.sleep(0.3)
-    deployment.start_controller(name)
+    await deployment.restart(name, 0.3)
 
 
 async def _leader_replaced(deployment: Deployment) -> None:
--- a/tests/test_lease_safety.py
+++ b/tests/test_lease_safety.py
@@ -60,9 +60,7 @@
     deployment.store.down = True
     staleness_s = deployment.controllers[shard_leader].settings.staleness_us / 1e6
     if fault == "restarted":
-        deployment.crash(other)
-        await asyncio.sleep(0.3)
-        deployment.start_controller(other)
+        await deployment.restart(other, 0.3)
         await asyncio.sleep(staleness_s - 1.5)
         # the restarted controller still defers failovers
         assert deployment.shard_leader() == shard_leader
@@ -186,9 +184,7 @@
     deployment = Deployment(loop)
     shard_leader = await deployment.start_with_running_job(4, 20.0)
 
-    deployment.crash(shard_leader)
-    await asyncio.sleep(0.3)
-    deployment.start_controller(shard_leader)
+    await deployment.restart(shard_leader, 0.3)
     await deployment.wait_until(lambda: deployment.shard_leader() is not None, seconds=1.5)
 
     await deployment.wait_until_done("req-000001")
--- a/tests/test_message_copies.py
+++ b/tests/test_message_copies.py
@@ -61,9 +61,9 @@
         deployment.store._transact(transaction)
     restored = set(deployment.store.keys) - keys
     shard_leader = deployment.acting_shard_leader()
-    deployment.crash(shard_leader)  # the next one drops records of machines that are no more
-    await asyncio.sleep(1.0)
-    deployment.start_controller(shard_leader)
+    await deployment.restart(
+        shard_leader, 1.0
+    )  # the next one drops records of machines that are no more
     await asyncio.sleep(60.0)
 
     assert {key.partition("/")[0] for key in restored} <= {"mach", "hire", "return"}
--- a/tests/test_rent_and_return_duties.py
+++ b/tests/test_rent_and_return_duties.py
@@ -178,9 +178,7 @@
     await deployment.wait_until(lambda: bool(open_intents(deployment, "hire/")))
     holder = deployment.acting_holder(Duty.RENT)
 
-    deployment.crash(holder)
-    await asyncio.sleep(1)
-    deployment.start_controller(holder)
+    await deployment.restart(holder, 1)
     await asyncio.sleep(15)
     deployment.cloud.answer_delay_s = 0.02
     machines = [name for names in deployment.cloud.scale_outs.values() for name in names]
--- a/tests/test_replicated_services.py
+++ b/tests/test_replicated_services.py
@@ -302,9 +302,7 @@
 
     for _ in range(2):
         for name in deployment.nodes:
-            deployment.crash(name)
-            await asyncio.sleep(1.0)
-            deployment.start_controller(name)
+            await deployment.restart(name, 1.0)
             await asyncio.sleep(3.0)
 
     assert deployment.rule_checker.starts == 6
--- a/tests/test_silent_machine_faults.py
+++ b/tests/test_silent_machine_faults.py
@@ -58,9 +58,7 @@
     name = deployment.shard_leader()
     if name is None:
         return
-    deployment.crash(name)
-    await asyncio.sleep(rng.choice([0.2, 2.0, 8.0]))
-    deployment.start_controller(name)
+    await deployment.restart(name, rng.choice([0.2, 2.0, 8.0]))
 
 
 async def _crash_twice(deployment: Deployment, rng: random.Random) -> None:
