A machine forgets nothing while any commands to it are in flight

Cause: forget waited for starts in flight only. A push of halts in flight was refused for the higher token, and the halts came with the next heartbeat's answer, up to a report later; the tasks of a gang have to hear of an orderly stop within gang_peer_s of each other.

Change: the machine says whether commands to it are in flight, in place of a set in the dispatcher.

Test: test_machine_forgets_nothing_while_commands_to_it_are_in_flight fails without the change, since the code before looked at starts only. 312 tests of the files concerned pass.

--- a/basaltlead/core/commands.py
+++ b/basaltlead/core/commands.py
@@ -21,9 +21,9 @@
 )
 
 MAX_COMMANDS = 250  # per message, which keeps it well below 64 KiB
-# While a start is in flight, a machine is not told to forget attempts, since the higher token would
-# have it refuse the start. With more ended attempts than this it is: its report, at about 100 bytes
-# for an attempt, must stay far below 64 KiB.
+# While commands are in flight, a machine is not told to forget attempts, since the higher token
+# would have it refuse them. With more ended attempts than this it is: its report, at about 100
+# bytes for an attempt, must stay far below 64 KiB.
 MAX_DEFERRED_FORGETS = 100
 
 
@@ -141,10 +141,8 @@
 
 
 def _defers_forgets(machine: Machine) -> bool:
-    """Whether FORGET waits for the answer to a start in flight."""
-    return len(machine.orphaned_attempts) <= MAX_DEFERRED_FORGETS and any(
-        attempt.start_in_flight for attempt in machine.attempts.values()
-    )
+    """Whether FORGET waits for the answer to commands in flight."""
+    return machine.push_in_flight and len(machine.orphaned_attempts) <= MAX_DEFERRED_FORGETS
 
 
 def _stop_commands(machine: Machine) -> list[TaskCommand]:
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -106,8 +106,9 @@
         self.last_heartbeat_at = 0
         self.lease = WorkerLease(now)
         self.recovered_at = 0  # when it last reported again after it had been lost
-        self.fencing_token = 0  # of the latest message to it; 0: none was sent
+        self.fencing_token = 0  # the highest that it was sent or has shown; 0: none
         self.push_token = 0  # the highest under which starts may have been pushed to it
+        self.push_in_flight = False  # commands were pushed and are not answered yet
         self.push_backoff_until = 0  # no commands are pushed until then
         self.pushed_starts = PushedStarts()
 
--- a/basaltlead/shard/dispatcher.py
+++ b/basaltlead/shard/dispatcher.py
@@ -70,7 +70,6 @@
         # A probe of a silent machine takes its whole timeout: without this limit, hundreds of them
         # would delay the commands for other machines.
         self._probe_slots = asyncio.Semaphore(max(2, worker_sockets(context.settings) // 2))
-        self._pushing: set[str] = set()  # names of machines with pushed commands in flight
         self._probing: set[str] = set()
         self._recording: set[str] = set()
         self.last_token_shown_at = 0  # when any machine last showed our fencing token
@@ -96,13 +95,13 @@
             if machine is None:
                 del shard.push_queue[name]
                 continue
-            if name in self._pushing or now < machine.push_backoff_until:
+            if machine.push_in_flight or now < machine.push_backoff_until:
                 continue
             commands, starts = shard.take_push_commands(machine)
             if not shard.has_pending_commands(machine):
                 del shard.push_queue[name]
             if commands:
-                self._pushing.add(machine.name)
+                machine.push_in_flight = True
                 log_commands(shard, machine, commands, pushed=True, now=now)
                 machine.pushed_starts.add([start.attempt_key for start in starts], now)
                 push = PushedCommands(shard.tokens.of(machine), machine.epoch, commands, starts)
@@ -121,7 +120,7 @@
             log.debug("commands pushed to %s not confirmed: %s", machine.name, error)
             executed = None if error.sent else False
         finally:
-            self._pushing.discard(machine.name)
+            machine.push_in_flight = False
             self.shard.acknowledge_starts(starts, executed)
             if executed is not True:  # if it is alive, the answers to its heartbeats carry commands
                 machine.push_backoff_until = now_us() + PUSH_BACKOFF_US
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -11,7 +11,7 @@
 from basaltlead.core.jobs import US
 from basaltlead.core.planning import plan
 from basaltlead.shard.token_reservation import MIN_UNUSED_TOKENS
-from tests.builders import MACHINE_TYPE, TOKENS, ShardHarness
+from tests.builders import MACHINE_TYPE, TOKENS, ShardHarness, task_status
 from tests.fakes import Deployment
 from tests.simulation import Loop, simulated
 from tests.test_starts_in_flight import Worker
@@ -95,13 +95,33 @@
     assert machine.last_heartbeat_at == harness.now
 
 
+def test_machine_forgets_nothing_while_commands_to_it_are_in_flight() -> None:
+    # Guards against halts and starts that are refused for a higher token and come late.
+    harness = ShardHarness()
+    machine = harness.shard.machines["m-0"]
+    job_state = harness.submit(tasks=2)
+    ended, running = harness.attempt(job_state, 0), harness.attempt(job_state, 1)
+    listed = [task_status(ended, "ended", "error"), task_status(running, "running")]
+    harness.heartbeat("m-0", *listed[1:])
+    harness.heartbeat("m-0", task_status(ended, "running"), listed[1])
+    harness.shard.stop(running, 1.0)
+    pushed_under = harness.shard.tokens.of(machine)
+
+    machine.push_in_flight = True
+    assert ("forget", "req-000001/0") not in (harness.heartbeat("m-0", *listed) or [])
+    assert harness.shard.tokens.of(machine) == pushed_under
+    machine.push_in_flight = False
+    assert ("forget", "req-000001/0") in (harness.heartbeat("m-0", *listed) or [])
+    assert harness.shard.tokens.of(machine) == pushed_under + 1
+
+
 # What a worker lists
 
 
 def _run_short_tasks(harness: ShardHarness, answered: bool) -> int:
     """Run ten tasks a second on a machine for a minute; return the size of its largest report.
 
-    A start is always in flight when a heartbeat is sent, unless all are `answered` at once.
+    Commands are always in flight when a heartbeat is sent, unless all are `answered` at once.
     """
     shard = harness.shard
     machine = shard.machines["m-0"]
@@ -113,6 +133,7 @@
     for _ in range(60):
         plan(shard, harness.now)
         commands, starts = shard.take_push_commands(machine)
+        machine.push_in_flight = not answered
         if answered:
             _answer(harness, worker, commands, starts)
         for key in list(worker.tasks):
