Fake worker: a replica that began on a faulty machine ends with an error, and the worker lives on

Cause: its loop looked up how the replica ends, which only some jobs say, when the machine was no longer faulty by then.

--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -305,7 +305,7 @@
                     elif self.faulty or job.get("Broken"):
                         self._end(key, "error")
                     elif job["Shape"] == "service":
-                        self._end(key, job["EndsWith"])
+                        self._end(key, job.get("EndsWith", "error"))
                     else:
                         self.deployment.rule_checker.task_completed(task)
                         self._end(key, "done")
