--- a/basaltlead/core/fencing_tokens.py
+++ b/basaltlead/core/fencing_tokens.py
@@ -41,7 +41,8 @@
 
     def contains(self, token: int) -> bool:
         """Whether a token is one of ours: what shows it obeys no earlier shard leader any more."""
-        return any(token in reserved for reserved in self._ranges)
+        # Asked for each heartbeat; mostly there is one range.
+        return token in self._ranges[0] or any(token in more for more in self._ranges[1:])
 
     def are_replaced_by(self, token: int) -> bool:
         """Whether a token is that of a later shard leader, or of another shard's."""
--- a/basaltlead/shard/command_log.py
+++ b/basaltlead/shard/command_log.py
@@ -5,12 +5,12 @@
 
 from basaltlead.core.commands import TaskCommand
 from basaltlead.core.entities import Machine
-from basaltlead.core.pushed_starts import describe_attempts
 from basaltlead.core.shard import Shard
-from basaltlead.core.task_keys import AttemptKey
 from basaltlead.core.task_states import FORGET
 from basaltlead.runtime.logs import log
 
+MAX_LOGGED_ATTEMPTS = 5  # attempts named in a log line
+
 
 def log_commands(
     shard: Shard, machine: Machine, commands: Iterable[TaskCommand], pushed: bool, now: int
@@ -44,20 +44,26 @@
     machine: Machine, commands: Sequence[TaskCommand], shown_token: int, sent_token: int, now: int
 ) -> None:
     """Log, in one line, what a machine is told to forget, and what was pushed to it before."""
-    forgotten = [
-        AttemptKey(command.ref, command.index, command.attempt_number)
-        for command in commands
-        if command.verb == FORGET
-    ]
+    forgotten = [command for command in commands if command.verb == FORGET]
     if not forgotten:
         return
     log.info(
         "machine %s told to forget %s: epoch %d, fencing token %d shown, %d sent; %s",
         machine.name,
-        describe_attempts(forgotten, len(forgotten)),
+        _describe_attempts(forgotten),
         machine.epoch,
         shown_token,
         sent_token,
         machine.pushed_starts.describe(now),
     )
     machine.pushed_starts.clear()
+
+
+def _describe_attempts(commands: Sequence[TaskCommand]) -> str:
+    """The number of attempts, and the first of them with their attempt numbers."""
+    names = ", ".join(
+        f"{command.ref}/{command.index} attempt {command.attempt_number}"
+        for command in commands[:MAX_LOGGED_ATTEMPTS]
+    )
+    more = ", ..." if len(commands) > MAX_LOGGED_ATTEMPTS else ""
+    return f"{len(commands)} ({names}{more})"
--- a/basaltlead/shard/dispatcher.py
+++ b/basaltlead/shard/dispatcher.py
@@ -103,7 +103,7 @@
             if commands:
                 machine.push_in_flight = True
                 log_commands(shard, machine, commands, pushed=True, now=now)
-                machine.pushed_starts.add([start.attempt_key for start in starts], now)
+                machine.pushed_starts.add((start.attempt_number for start in starts), now)
                 push = PushedCommands(shard.tokens.of(machine), machine.epoch, commands, starts)
                 self.context.spawn(self._push(machine, push), f"push {machine.name}")
 
