Test of short session leases runs with short session leases

The bound of 11 s that was meant would not have shortened the lease either.

Change: cancel_s of 8.5 s, which makes the lease 1.2 s, and an assertion that it is short.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -212,14 +212,10 @@
 @simulated
 async def test_shard_leader_stays_active_with_short_session_leases(loop: Loop) -> None:
     """A watch must not be held open for longer than the session lease that it renews; otherwise the
-    shard leader becomes inactive.
+    shard leader becomes inactive."""
+    deployment = Deployment(loop, cancel=8.5)
+    assert deployment.settings("node-0").session_lease_us < 1_300_000
 
-    The session lease is the default one here: the settings take `cancel_s`, which the constructor
-    has already set, so the assignment of `CANCEL_S` does not shorten it.
-    """
-    deployment = Deployment(loop)
-
-    deployment.CANCEL_S = 11.0
     await deployment.start()
     await deployment.submit(deployment.job(1, Pieces=4))
     await asyncio.sleep(8)
