--- a/tests/test_late_start_copies.py
+++ b/tests/test_late_start_copies.py
@@ -106,6 +106,22 @@
         deployment.start_controller(name)
 
 
+async def _machines_hang(deployment: Deployment) -> None:
+    """Copies that arrive meanwhile are carried out when the machines go on."""
+    machines = list(deployment.cloud.machines.values())
+    for machine in machines:
+        machine.hung = True
+    await asyncio.sleep(2.0)
+    for machine in machines:
+        machine.hung = False
+
+
+async def _machines_begin_a_new_epoch(deployment: Deployment) -> None:
+    for machine in deployment.cloud.machines.values():
+        machine.begin_next_epoch()
+    await asyncio.sleep(1.0)
+
+
 EVENTS = [
     _nothing,
     _cancelled,
@@ -113,6 +129,8 @@
     _leader_replaced,
     _leader_replaced_twice,
     _all_controllers_away,
+    _machines_hang,
+    _machines_begin_a_new_epoch,
 ]
 SHAPES: dict[str, dict[str, Any]] = {
     "array": {"Pieces": 2},
