--- a/basaltlead/core/pushed_starts.py
+++ b/basaltlead/core/pushed_starts.py
@@ -32,9 +32,9 @@
     def describe(self, now: int) -> str:
         """How many starts were pushed, their attempt numbers, and how long ago the last one was."""
         if not self.count:
-            return "no starts pushed since the last such line"
+            return "no starts pushed since the last time"
         age_s = (now - self.last_at) / US
         return (
-            f"{self.count} starts pushed since the last such line, "
-            f"attempts {self.lowest} to {self.highest}, the last {age_s:.1f} s ago"
+            f"{self.count} starts pushed since the last time, "
+            f"attempts {self.lowest} to {self.highest}, {age_s:.1f} s before"
         )
--- a/basaltlead/shard/command_log.py
+++ b/basaltlead/shard/command_log.py
@@ -5,11 +5,13 @@
 
 from basaltlead.core.commands import TaskCommand
 from basaltlead.core.entities import Machine
+from basaltlead.core.jobs import US
 from basaltlead.core.shard import Shard
 from basaltlead.core.task_states import FORGET
 from basaltlead.runtime.logs import log
 
-MAX_LOGGED_ATTEMPTS = 5  # attempts named in a log line
+MAX_LOGGED_ATTEMPTS = 5  # attempts of a machine that are named in a log line
+WRITE_INTERVAL_US = US
 
 
 def log_commands(
@@ -40,23 +42,39 @@
         )
 
 
-def log_forgotten_attempts(
-    machine: Machine, commands: Sequence[TaskCommand], shown_token: int, sent_token: int, now: int
-) -> None:
-    """Log, in one line, what a machine is told to forget, and what was pushed to it before."""
-    forgotten = [command for command in commands if command.verb == FORGET]
-    if not forgotten:
-        return
-    log.info(
-        "machine %s told to forget %s: epoch %d, fencing token %d shown, %d sent; %s",
-        machine.name,
-        _describe_attempts(forgotten),
-        machine.epoch,
-        shown_token,
-        sent_token,
-        machine.pushed_starts.describe(now),
-    )
-    machine.pushed_starts.clear()
+class ForgottenAttemptsLog:
+    """Logs what machines are told to forget, in one line a second for all of them: a line for each
+    answer to a heartbeat would be most of what a controller writes."""
+
+    def __init__(self) -> None:
+        self._entries: list[str] = []
+        self._written_at = 0
+
+    def add(
+        self,
+        machine: Machine,
+        commands: Sequence[TaskCommand],
+        shown_token: int,
+        sent_token: int,
+        now: int,
+    ) -> None:
+        """Add what an answer tells a machine to forget, and what was pushed to it before."""
+        forgotten = [command for command in commands if command.verb == FORGET]
+        if not forgotten:
+            return
+        self._entries.append(
+            f"machine {machine.name} {_describe_attempts(forgotten)}, epoch {machine.epoch}, "
+            f"fencing token {shown_token} shown, {sent_token} sent, "
+            f"{machine.pushed_starts.describe(now)}"
+        )
+        machine.pushed_starts.clear()
+
+    def write_if_due(self, now: int) -> None:
+        """Write the line if there is anything to write, and the last one was a second ago."""
+        if self._entries and now - self._written_at >= WRITE_INTERVAL_US:
+            self._written_at = now
+            log.info("told to forget attempts: %s", "; ".join(self._entries))
+            self._entries.clear()
 
 
 def _describe_attempts(commands: Sequence[TaskCommand]) -> str:
--- a/basaltlead/shard/heartbeats.py
+++ b/basaltlead/shard/heartbeats.py
@@ -6,7 +6,7 @@
 from basaltlead.net.http.messages import STATUS_OK, Response
 from basaltlead.runtime.clock import now_us
 from basaltlead.runtime.logs import log
-from basaltlead.shard.command_log import log_commands, log_forgotten_attempts
+from basaltlead.shard.command_log import ForgottenAttemptsLog, log_commands
 from basaltlead.shard.context import ShardContext
 from basaltlead.shard.dispatcher import WorkerDispatcher, to_worker_command
 from basaltlead.wire.workers import Heartbeat, HeartbeatResponse
@@ -21,6 +21,7 @@
         self.shard = context.shard
         self.dispatcher = dispatcher
         self._loaded = False
+        self._forgotten_attempts_log = ForgottenAttemptsLog()
         # When machines were last answered before the shard was loaded, by machine name.
         self.answered_while_loading: dict[str, int] = {}
 
@@ -71,7 +72,8 @@
         machine = self.shard.machines[heartbeat.machine]
         log_commands(self.shard, machine, commands, pushed=False, now=now)
         token = self.shard.tokens.of(machine)
-        log_forgotten_attempts(machine, commands, heartbeat.fencing_token, token, now)
+        self._forgotten_attempts_log.add(machine, commands, heartbeat.fencing_token, token, now)
+        self._forgotten_attempts_log.write_if_due(now)
         if machine.last_heartbeat_at == now:  # else the heartbeat was outdated or unproven
             shows_token = self.shard.tokens.contains(heartbeat.fencing_token)
             self._after_heartbeat(machine, shows_token, now)
--- a/tests/test_late_start_copies.py
+++ b/tests/test_late_start_copies.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from basaltlead.core.jobs import US
 from basaltlead.net.http.messages import Request
-from basaltlead.shard.command_log import log_forgotten_attempts
+from basaltlead.shard.command_log import ForgottenAttemptsLog
 from tests.builders import ShardHarness, task_status
 from tests.fakes import Deployment, FakeWorker
 from tests.simulation import Loop, simulated
@@ -21,21 +22,26 @@
     attempt = harness.attempt(harness.submit())
     machine.pushed_starts.add([attempt.attempt_number], harness.now)
     attempt.stage = "running"
-    harness.now += 2_000_000
+    harness.now += 2 * US
     heartbeat = harness.make_heartbeat("m-0", task_status(attempt, "ended", "error"))
     commands = harness.shard.heartbeat(heartbeat, harness.now) or []
 
-    with caplog.at_level("INFO", "basaltlead"):
-        log_forgotten_attempts(machine, commands, 7, 8, harness.now)
-        log_forgotten_attempts(machine, commands, 8, 8, harness.now)
+    log = ForgottenAttemptsLog()
 
-    name = f"req-000001/0 attempt {attempt.attempt_number}"
+    with caplog.at_level("INFO", "basaltlead"):
+        log.add(machine, commands, 7, 8, harness.now)
+        log.write_if_due(harness.now)
+        log.add(machine, commands, 8, 8, harness.now)
+        log.write_if_due(harness.now + US - 1)
+        assert len(caplog.messages) == 1
+        log.write_if_due(harness.now + US)
+
+    number = attempt.attempt_number
+    told = f"told to forget attempts: machine m-0 1 (req-000001/0 attempt {number}), epoch 1"
     assert caplog.messages == [
-        f"machine m-0 told to forget 1 ({name}): epoch 1, fencing token 7 shown, 8 sent; "
-        f"1 starts pushed since the last such line, attempts {attempt.attempt_number} to "
-        f"{attempt.attempt_number}, the last 2.0 s ago",
-        f"machine m-0 told to forget 1 ({name}): epoch 1, fencing token 8 shown, 8 sent; "
-        "no starts pushed since the last such line",
+        f"{told}, fencing token 7 shown, 8 sent, 1 starts pushed since the last time, "
+        f"attempts {number} to {number}, 2.0 s before",
+        f"{told}, fencing token 8 shown, 8 sent, no starts pushed since the last time",
     ]
 
 
