--- a/review/world/machine.py
+++ b/review/world/machine.py
@@ -273,6 +273,8 @@
             task.enter("gathering" if gang else "running")
             self.deployment.started(self, task)
             self.changed.set()
+            if task.piece in self.deployment.done:  # its result is kept
+                self._end(task, "done")
         if task.stage == "gathering":
             if self.deployment.gang_ready(task):
                 task.enter("running")
