The trial machine of a silent zone is one that waiting work can use

Cause: SilentZones chose the trial of a silent zone by its price alone, the cheapest spot machine. If no waiting task may use that, it is never rented, and the zone stays silent.

Change: SilentZones tells which zones may be tried, RentalChoice picks the machine for what waits: one in each trial zone and pass, the cheapest offer as before, a dearer one only for tasks that no other offer serves now. A log line tells of each trial.

--- a/basaltlead/core/fleet_sizing.py
+++ b/basaltlead/core/fleet_sizing.py
@@ -7,7 +7,7 @@
 
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.jobs import EPS, Job, MachineType, Resources
-from basaltlead.core.offers import Offer, unit_price
+from basaltlead.core.offers import Offer, RentableOffers, unit_price
 from basaltlead.core.rental_choice import RentalChoice
 
 
@@ -64,15 +64,14 @@
     spares: Sequence[WarmSpare],
     machines: Iterable[Machine],
     machine_types: Mapping[str, MachineType],
-    offers: Mapping[Offer, int | None],
+    offers: RentableOffers,
     max_rentals: int,
 ) -> FleetPlan:
     """Pack the wanted tasks onto the present machines, highest rank first, and rent machines for
     the rest.
 
     Tasks that are on a machine stay there unless a higher rank takes their place; then they are
-    placed like waiting tasks. `offers` tells how many machines of each offer are available, None if
-    that is not known.
+    placed like waiting tasks.
     """
     jobs = [*(need.job_state.job for need in needs), *(spare.job for spare in spares)]
     run_us = {need.job_state.job.ref: need.run_us for need in needs}
--- a/basaltlead/core/offers.py
+++ b/basaltlead/core/offers.py
@@ -1,6 +1,6 @@
 """What the cloud offers for rent, at which price, and how much of it is known to be available."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -29,6 +29,17 @@
     )
 
 
+class RentableOffers(NamedTuple):
+    """The offers that may be rented in one pass of fleet sizing.
+
+    `available` tells how many machines of each there are, None if that is not known. In each of the
+    `trial_zones` a single machine may be rented, whichever of its offers that is.
+    """
+
+    available: Mapping[Offer, int | None]
+    trial_zones: frozenset[str] = frozenset()
+
+
 class KnownCapacity(NamedTuple):
     """How many machines of an offer can be held at most, and until when that is relied on."""
 
--- a/basaltlead/core/rental_choice.py
+++ b/basaltlead/core/rental_choice.py
@@ -1,9 +1,9 @@
 """Which machine to rent for tasks that find no room: the one that gives them room most cheaply."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from basaltlead.core.jobs import US, Job, MachineType
-from basaltlead.core.offers import Offer, unit_price
+from basaltlead.core.offers import Offer, RentableOffers, unit_price
 
 # A machine is rented only if the backlog lasts at least this multiple of the machine's boot time.
 # Spot machines are cheap enough to be rented early and to wait for work; on-demand machines are for
@@ -38,18 +38,20 @@
     def __init__(
         self,
         machine_types: Mapping[str, MachineType],
-        offers: Mapping[Offer, int | None],
+        offers: RentableOffers,
         run_us: Mapping[str, int],
         max_rentals: int,
     ) -> None:
-        """`offers` tells how many machines of each offer are available, None if that is not known;
-        `run_us` is how long a task runs, by job."""
+        """`run_us` is how long a task runs, by job."""
         self.machine_types = machine_types
-        self.offers = offers
+        self.offers = offers.available
         self.rentals: list[Offer] = []
+        self._trial_zones = offers.trial_zones
+        self._cheapest_trials = self._cheapest_in(offers.trial_zones)
         self._run_us = run_us
         self._max_rentals = max_rentals
         self._counts: dict[Offer, int] = {}  # of rentals
+        self._rented_zones: set[str] = set()  # zones of rentals
 
     def choose(
         self, job: Job, zones: set[str] | None, count: int, backlog_us: float
@@ -67,13 +69,13 @@
         candidates = [
             offer
             for offer, available in self.offers.items()
-            if (available is None or counts.get(offer, 0) < available)
+            if self._is_left(offer, available)
             and self._is_worth_renting(job, offer, zones, backlog_us)
         ]
         if not candidates:
             return None
         chosen = min(
-            candidates,
+            self._without_costly_trials(candidates) or candidates,
             key=lambda offer: (
                 round(self._price(job, offer, count), 6),
                 counts.get(offer, 0),
@@ -83,8 +85,35 @@
         )
         self.rentals.append(chosen)
         counts[chosen] = counts.get(chosen, 0) + 1
+        self._rented_zones.add(chosen.zone)
         return chosen
 
+    def _cheapest_in(self, zones: frozenset[str]) -> set[Offer]:
+        """The cheapest offer of each of these zones."""
+        cheapest: dict[str, Offer] = {}
+        for offer in sorted(self.offers, key=self._unit_price, reverse=True):
+            if offer.zone in zones:
+                cheapest[offer.zone] = offer
+        return set(cheapest.values())
+
+    def _unit_price(self, offer: Offer) -> float:
+        return unit_price(self.machine_types[offer.type_name], offer.spot)
+
+    def _is_left(self, offer: Offer, available: int | None) -> bool:
+        """Whether one more machine of the offer may be rented."""
+        if offer.zone in self._trial_zones:
+            return offer.zone not in self._rented_zones
+        return available is None or self._counts.get(offer, 0) < available
+
+    def _without_costly_trials(self, candidates: Sequence[Offer]) -> list[Offer]:
+        """The candidates without the dearer offers of trial zones, where a machine may never
+        report. These are for tasks that nothing else can serve."""
+        return [
+            offer
+            for offer in candidates
+            if offer.zone not in self._trial_zones or offer in self._cheapest_trials
+        ]
+
     def _is_worth_renting(
         self, job: Job, offer: Offer, zones: set[str] | None, backlog_us: float
     ) -> bool:
--- a/basaltlead/core/silent_zones.py
+++ b/basaltlead/core/silent_zones.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from basaltlead.core.jobs import US, MachineType
-from basaltlead.core.offers import Offer, unit_price
+from basaltlead.core.jobs import US
+from basaltlead.core.offers import Offer, RentableOffers
 
 MIN_SILENT_MACHINES = 3  # a zone with fewer silent machines is not considered silent
 # How long nothing is rented in a silent zone after the last of its silent machines was returned.
@@ -41,30 +41,20 @@
         return newly_silent
 
     def rentable_offers(
-        self,
-        offers: Mapping[Offer, int | None],
-        machine_types: Mapping[str, MachineType],
-        awaited_zones: Iterable[str],
-        now: int,
-    ) -> dict[Offer, int | None]:
-        """The offers that may be rented, and how many machines of each (None: no known limit). In a
-        silent zone this is, after the pause, a single machine of the cheapest offer as a trial,
-        unless one from there is already awaited."""
+        self, offers: Mapping[Offer, int | None], awaited_zones: Iterable[str], now: int
+    ) -> RentableOffers:
+        """What may be rented of these offers. After the pause a silent zone is a trial zone, unless
+        a machine from there is already awaited. Which offer of it is tried is left to
+        `RentalChoice`, which knows what waits: a machine that no waiting task can use would never
+        be rented, and the zone would stay silent (test_work_of_a_silent_zone_runs_again)."""
         awaited = set(awaited_zones)
-        admitted: dict[Offer, int | None] = {}
-        trials: dict[str, Offer] = {}
-        for offer, most in offers.items():
-            paused_until = self._paused_until.get(offer.zone)
-            if paused_until is None:
-                admitted[offer] = most
-            elif now >= paused_until and offer.zone not in awaited:
-                cheapest = trials.get(offer.zone)
-                if cheapest is None or _price(offer, machine_types) < _price(
-                    cheapest, machine_types
-                ):
-                    trials[offer.zone] = offer
-        return admitted | dict.fromkeys(trials.values(), 1)
-
-
-def _price(offer: Offer, machine_types: Mapping[str, MachineType]) -> float:
-    return unit_price(machine_types[offer.type_name], offer.spot)
+        trial_zones = {
+            zone
+            for zone, paused_until in self._paused_until.items()
+            if now >= paused_until and zone not in awaited
+        }
+        closed_zones = self._paused_until.keys() - trial_zones
+        available = {
+            offer: count for offer, count in offers.items() if offer.zone not in closed_zones
+        }
+        return RentableOffers(available, frozenset(trial_zones))
--- a/basaltlead/scaling/autoscaler.py
+++ b/basaltlead/scaling/autoscaler.py
@@ -11,7 +11,7 @@
 from basaltlead.core.entities import Machine
 from basaltlead.core.jobs import US
 from basaltlead.core.market import Market
-from basaltlead.core.offers import Offer, OfferAvailability
+from basaltlead.core.offers import Offer, OfferAvailability, RentableOffers
 from basaltlead.core.quiet_times import QuietTimes
 from basaltlead.core.silent_zones import SilentZones
 from basaltlead.runtime.clock import now_us
@@ -114,15 +114,16 @@
         expected_machines = self.expected_machines(now)
         needs = self.demand.of_open_jobs(now, expected_machines)
         self._update_silent_zones(now)
+        offers = self._offers(expected_machines, now)
         plan = fleet_sizing.plan_fleet(
             needs,
             self.demand.warm_spares(now),
             expected_machines,
             self.context.machine_types,
-            self._offers(expected_machines, now),
+            offers,
             self._max_rentals(),
         )
-        self._request(plan.rentals)
+        self._request(plan.rentals, offers.trial_zones)
         for machine in shard.machines.values():
             machine.needed = machine.name in plan.needed
         self.market.allocate_slots(shard, now)
@@ -140,13 +141,15 @@
             and not self.reachability.unreachable(m, now)
         ]
 
-    def _request(self, rentals: list[Offer]) -> None:
+    def _request(self, rentals: list[Offer], trial_zones: frozenset[str]) -> None:
         """Send one request for each offer, up to the limit of open requests.
 
         Later passes request the remaining machines.
         """
         places = max(0, MAX_OPEN_REQUESTS - len(self.scale_out.requests.pending))
         for offer, count in list(Counter(rentals).items())[:places]:
+            if offer.zone in trial_zones:
+                log.info("zone %s silent: trial machine requested: %s", offer.zone, offer.type_name)
             self.scale_out.request(offer, count)
 
     def _max_rentals(self) -> int:
@@ -161,14 +164,13 @@
         for zone in self.silent_zones.update(self.reachability.heard_by_zone(now), now):
             log.info("zone %s silent: scale-out there is paused", zone)
 
-    def _offers(self, expected_machines: list[Machine], now: int) -> dict[Offer, int | None]:
-        """The offers that may be requested, with the number of machines; None means no limit."""
+    def _offers(self, expected_machines: list[Machine], now: int) -> RentableOffers:
+        """The offers that may be requested."""
         if self.reachability.all_silent(now):
-            return {}
-        machine_types = self.context.machine_types
+            return RentableOffers({})
         requests = self.scale_out.requests
         offers = self.offer_availability.offers(
-            machine_types.values(), requests.machine_counts(), now
+            self.context.machine_types.values(), requests.machine_counts(), now
         )
         for offer in requests.rejected_offers:
             offers.pop(offer, None)
@@ -177,7 +179,7 @@
             for m in expected_machines
             if not m.last_heartbeat_at and _is_within_usual_boot_time(m, now)
         }
-        return self.silent_zones.rentable_offers(offers, machine_types, awaited_zones, now)
+        return self.silent_zones.rentable_offers(offers, awaited_zones, now)
 
 
 def _is_within_usual_boot_time(machine: Machine, now: int) -> bool:
--- a/tests/test_fleet_sizing.py
+++ b/tests/test_fleet_sizing.py
@@ -3,7 +3,7 @@
 from basaltlead.core import fleet_sizing
 from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import US
-from basaltlead.core.offers import Offer
+from basaltlead.core.offers import Offer, RentableOffers
 from tests.builders import MACHINE_TYPE, ShardHarness, make_job
 from tests.fakes import Deployment
 from tests.simulation import Loop, simulated
@@ -22,7 +22,9 @@
     needs = [TaskDemand(job_state, 40, backlog_us)]
     return [
         offer.spot
-        for offer in fleet_sizing.plan_fleet(needs, [], [], {"k": MACHINE_TYPE}, offers, 12).rentals
+        for offer in fleet_sizing.plan_fleet(
+            needs, [], [], {"k": MACHINE_TYPE}, RentableOffers(offers), 12
+        ).rentals
     ]
 
 
--- a/tests/test_scale_hundreds.py
+++ b/tests/test_scale_hundreds.py
@@ -12,7 +12,7 @@
 from basaltlead.core.entities import JobState, Machine
 from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import US, Resources, Shape
-from basaltlead.core.offers import Offer
+from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.teams import TeamQuota
 from tests.builders import MACHINE_TYPE, TIMING, ShardHarness, make_job, task_status
 
@@ -115,7 +115,7 @@
     count = CallCounter(
         monkeypatch, (Resources, "fits"), (Resources, "capacity_for"), (core_offers, "allowed")
     )
-    fleet_sizing.plan_fleet(needs, [], machines, {"k": MACHINE_TYPE}, {}, 12)
+    fleet_sizing.plan_fleet(needs, [], machines, {"k": MACHINE_TYPE}, RentableOffers({}), 12)
 
     assert running >= 3 * MACHINES
     assert count.calls < running + 2 * MACHINES
@@ -191,7 +191,9 @@
     count = CallCounter(
         monkeypatch, (Resources, "fits"), (Resources, "capacity_for"), (core_offers, "allowed")
     )
-    plan = fleet_sizing.plan_fleet(needs, [], machines, {"k": MACHINE_TYPE}, offers, 12)
+    plan = fleet_sizing.plan_fleet(
+        needs, [], machines, {"k": MACHINE_TYPE}, RentableOffers(offers), 12
+    )
 
     assert len(plan.rentals) == 12
     assert count.calls < 6 * MACHINES * len(job_states)
--- a/tests/test_scale_thousands.py
+++ b/tests/test_scale_thousands.py
@@ -15,7 +15,7 @@
 from basaltlead.core.fleet import MAX_RETAINED_NAMES
 from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import RANKS, US, Resources, Shape
-from basaltlead.core.offers import Offer
+from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.shard import Shard
 from basaltlead.core.task_reports import TaskReports
 from basaltlead.core.teams import TeamQuota
@@ -227,7 +227,9 @@
     needs = [TaskDemand(job_state, job_state.remaining * 2) for job_state in job_states]
     machines: list[Machine] = list(harness.shard.machines.values())
     offers: dict[Offer, int | None] = {Offer("k", zone, False): None for zone in "abc"}
-    plan = fleet_sizing.plan_fleet(needs, [], machines, {"k": MACHINE_TYPE}, offers, MACHINES // 16)
+    plan = fleet_sizing.plan_fleet(
+        needs, [], machines, {"k": MACHINE_TYPE}, RentableOffers(offers), MACHINES // 16
+    )
     assert len(plan.rentals) == MACHINES // 16
     for number in range(MACHINES):
         harness.shard.drop_machine(_name(number), harness.now)
