Rented machines count for an array only where a task of it fits

Cause: RentedCapacity.backlog_us divided all work by all CPUs beside gangs and services on machines of allowed types, zones and prices. Pieces of 3 CPUs counted as room for a task of 30, the backlog seemed to last 17 s, and nothing was rented; waiting changes nothing in the sum.

Change: machines count where a task fits into what gangs and services leave, in a zone that the job may use now, unless they take no tasks any more; the packing asks the same of the machine. The backlog is at least that of the job's own tasks in their places.

--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -7,17 +7,20 @@
 rented for work that is done before they have booted.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from basaltlead.core.entities import JobState, Machine
-from basaltlead.core.jobs import US, Job, Shape
+from basaltlead.core.jobs import US, Resources, Shape, fitting_task_count
 from basaltlead.core.offers import Offer
+from basaltlead.core.placement import eligible_zones
 
 USABLE_TIME_FRACTION = 0.85  # of the time left, since estimates are often wrong by half
 MAX_INITIAL_WAIT_US = 60 * US  # after it a job should have a task, even if it is due much later
 LATE_JOB_SPAN_US = 120 * US  # a late job is due after this, or after two runs if that is longer
 MIN_REMAINING_DIVISOR = 4  # a task is assumed to need at least its estimate divided by this
+ROOM_DIGITS = 6  # decimal places of amounts of room; the tolerance of comparisons is as fine
 ROUND_UP_OFFSET = 0.999  # added before truncation: rounds up, but ignores rounding errors
 
 
@@ -113,23 +116,58 @@
     return left_us * job_state.job.size
 
 
+class Room(NamedTuple):
+    """What gangs and services leave of a machine for arrays."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+
 class RentedCapacity:
-    """CPUs that arrays may use, counted once for all jobs. They are grouped by offer, since a job's
-    constraints allow or exclude whole offers."""
+    """What arrays may use of the rented machines, counted once for all jobs.
+
+    Machines are grouped by offer, since a job's constraints allow or exclude whole offers, and by
+    their room, since a machine is capacity for a job only if a task of the job fits there.
+    """
 
     def __init__(self, machines: Iterable[Machine]) -> None:
-        self._cpus: dict[Offer, float] = {}
+        self._rooms: dict[Offer, Counter[Room]] = {}  # how many machines have the same room
         for machine in machines:
-            jobs = [attempt.job_state.job for attempt in machine.attempts.values()]
-            taken = sum(job.cpus for job in jobs if job.shape is not Shape.ARRAY)
-            offer = Offer(machine.machine_type.name, machine.zone, machine.spot)
-            self._cpus[offer] = self._cpus.get(offer, 0.0) + machine.machine_type.cpus - taken
+            if not machine.is_leaving:
+                offer = Offer(machine.machine_type.name, machine.zone, machine.spot)
+                self._rooms.setdefault(offer, Counter())[_room_for_arrays(machine)] += 1
+        self._zones = {offer.zone for offer in self._rooms}
 
-    def backlog_us(self, job: Job, backlog: float) -> float:
-        """How long the machines that a job may use, booting ones included, need for a backlog in
-        CPU microseconds; infinite if there are none.
+    def backlog_us(self, job_state: JobState, own_cpu_us: float, backlog: float) -> float:
+        """How long the machines that can hold a task of the job, booting ones included, need for
+        all arrays together (`backlog`) or, if that takes longer, for the job alone (`own_cpu_us`).
+        Both are in CPU microseconds. Infinite if no machine can hold a task.
 
         A machine that takes longer than that to boot would have no work left.
         """
-        cpus = sum(cpus for offer, cpus in self._cpus.items() if offer.allows(job))
-        return backlog / cpus if cpus > 0 else float("inf")
+        job = job_state.job
+        zones = eligible_zones(job_state, self._zones)
+        cpus = 0.0
+        slots = 0
+        for offer, rooms in self._rooms.items():
+            if offer.zone not in zones or not offer.allows(job):
+                continue
+            for room, machines in rooms.items():
+                tasks = fitting_task_count(job, *room)
+                if tasks:
+                    cpus += room.cpus * machines
+                    slots += tasks * machines
+        if not slots:
+            return float("inf")
+        shared_us = backlog / cpus if cpus > 0 else 0.0
+        return max(shared_us, own_cpu_us / (slots * job.size))
+
+
+def _room_for_arrays(machine: Machine) -> Room:
+    room = Resources.of(machine.machine_type)
+    for attempt in machine.attempts.values():
+        if attempt.job_state.job.shape is not Shape.ARRAY:
+            room.take(attempt.job_state.job)
+    # Rounded, so that sums in another order give the same room.
+    return Room(*(round(amount, ROOM_DIGITS) for amount in (room.cpus, room.gpus, room.memory_gb)))
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -162,6 +162,11 @@
         """Whether its tasks are to be moved to other machines: it is faulty or to be preempted."""
         return self.faulty or self.preemption_at is not None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it will take no task any more: it is lost, to be returned, or draining."""
+        return self.lost or self.terminating or self.is_draining
+
     @property
     def epoch(self) -> int:
         """The latest known agent epoch; 0 before the first message."""
--- a/basaltlead/core/fleet_sizing.py
+++ b/basaltlead/core/fleet_sizing.py
@@ -94,7 +94,7 @@
         self._bins = [
             PackingBin(m.machine_type, Offer(m.machine_type.name, m.zone, m.spot), m)
             for m in machines
-            if not (m.faulty or m.terminating or m.lost or m.preemption_at is not None)
+            if not m.is_leaving
         ]
         # By price per CPU; at equal prices those with most attempts first, so that the emptier ones
         # stay unused and can be returned.
--- a/basaltlead/scaling/fleet_demand.py
+++ b/basaltlead/scaling/fleet_demand.py
@@ -48,7 +48,8 @@
             state.need = counts[state.job.ref]
             need = TaskDemand(state, state.need, run_us=shard.estimated_run_us(state))
             if state.job.shape is Shape.ARRAY:
-                need.backlog_us = capacity.backlog_us(state.job, backlog)
+                own_cpu_us = remaining_cpu_us[state.job.ref]
+                need.backlog_us = capacity.backlog_us(state, own_cpu_us, backlog)
             needs.append(need)
         return needs
 
