A job that no plan has placed for a minute gets a machine that has come up since

Sizing counts room that the job can't have: the machine is never empty at once; or sizing gives the job the place of lower ranks, which plans don't stop for it.

Change: each plan records since when it has found no machine for a job that may start (JobState.unplaced_since). After MAX_INITIAL_WAIT_US only machines that came up within that time or have yet to are room for the job in sizing, and one is rented if none has any; of an array for one task.

--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -282,6 +282,8 @@
         self.started_at = 0  # when its first task ran
         # When it was submitted, or a task of it was last bound to a machine or left one.
         self.progressed_at = self.submitted_at
+        # Since when no plan has found a machine for it although it may start; 0: one did.
+        self.unplaced_since = 0
         self.closed = False  # cancelled or completed: nothing may start
 
         # Results: a bit per completed task, and the same for those that this shard recorded.
--- a/basaltlead/core/fleet_sizing.py
+++ b/basaltlead/core/fleet_sizing.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from basaltlead.core.entities import Attempt, JobState, Machine
-from basaltlead.core.jobs import EPS, Job, MachineType, Resources
+from basaltlead.core.jobs import EPS, Job, MachineType, Resources, Shape
 from basaltlead.core.offers import Offer, RentableOffers, unit_price
 from basaltlead.core.rental_choice import RentalChoice
 
@@ -18,6 +18,16 @@
     count: int
     backlog_us: float = float("inf")  # time until the rented machines have done all open work
     run_us: int = 0  # estimated run time of a task of the job
+    # Only machines that came up after this are room for the job; 0: all are. Plans have found none
+    # among the older ones (`JobState.unplaced_since`), whatever sizing takes for room there.
+    room_since: int = 0
+
+    @property
+    def tasks_without_room(self) -> int:
+        """How many tasks `room_since` applies to: of an array one, which the others can follow."""
+        if not self.room_since:
+            return 0
+        return 1 if self.job_state.job.shape is Shape.ARRAY else self.count
 
 
 class WarmSpare(Struct):
@@ -49,6 +59,14 @@
         self.room = Resources.of(machine_type)
         self.used = 0
 
+    def came_up_after(self, time_us: int) -> bool:
+        """Whether the machine came up after this time, or has yet to."""
+        return (
+            self.machine is None
+            or not self.machine.usage.up_at
+            or self.machine.usage.up_at > time_us
+        )
+
     def image_count(self, wanted: frozenset[str]) -> int:
         """How many of these images are on the machine; 0 if it is to be rented."""
         return 0 if self.machine is None else len(wanted & self.machine.images.keys())
@@ -121,10 +139,26 @@
             live = [a for a in need.job_state.live.values() if a.stop_grace_s is None]
             unplaced.append(max(0, need.count - sum(map(self._keep_in_place, live))))
         self._drop_full_bins()
+        for position, need in enumerate(needs):
+            unplaced[position] -= self._place_on_new_machines(need, unplaced[position])
         for need, count in zip(needs, unplaced, strict=True):
             zone_room = self._zone_room(need.job_state, count)
             self._place(need.job_state.job, count, zone_room, need.backlog_us)
 
+    def _place_on_new_machines(self, need: TaskDemand, unplaced: int) -> int:
+        """Place the tasks for which only machines that came up lately, or will, are room. Returns
+        how many of them were placed. They come before others of their rank, which would otherwise
+        take these machines and leave the older ones."""
+        count = min(unplaced, need.tasks_without_room)
+        if count <= 0:
+            return 0
+        with_room, rented_before = self._with_room, len(self._bins)
+        self._with_room = [b for b in with_room if b.came_up_after(need.room_since)]
+        zone_room = self._zone_room(need.job_state, count)
+        placed = self._place(need.job_state.job, count, zone_room, float("inf"))
+        self._with_room = with_room + self._bins[rented_before:]
+        return placed
+
     def place_spares(self, spares: Sequence[WarmSpare]) -> None:
         """Find room for spares.
 
@@ -228,8 +262,8 @@
 
     def _place(
         self, job: Job, count: int, zone_room: dict[str, int] | None, backlog_us: float
-    ) -> None:
-        """Place this many tasks of a job.
+    ) -> int:
+        """Place this many tasks of a job, as far as possible; return how many were placed.
 
         Bins with room are visited first, then new rentals. No bin is visited twice: one that was
         passed can't take any more of these tasks.
@@ -255,6 +289,7 @@
                 zone_room[packing_bin.zone] = zone_room.get(packing_bin.zone, 0) - tasks
         if full > len(self._with_room) // 4:
             self._drop_full_bins()
+        return placed
 
     def _rent(
         self, job: Job, zones: set[str] | None, count: int, backlog_us: float
--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -16,14 +16,17 @@
 from basaltlead.core.replica_placement import ReplicaPlacement
 from basaltlead.core.shard import Shard
 from basaltlead.core.start_order import start_order
+from basaltlead.core.team_limits import TeamLimits
 
 
 def plan(shard: Shard, now: int) -> None:
     """Bind waiting tasks to machines in start order, and move replicas off departing machines."""
     shard.begin_plan()
     usable = usable_machines(shard, now)
+    job_states = start_order(shard, now)
     if usable:
-        _bind(shard, usable, start_order(shard, now), now)
+        _bind(shard, usable, job_states, now)
+    _record_unplaced(shard, job_states, now)
 
 
 def _bind(
@@ -47,3 +50,29 @@
         if job_state.job.shape is Shape.ARRAY:
             arrays.start_beyond_share(job_state)
     services.move_from_departing_machines()
+
+
+def _record_unplaced(shard: Shard, job_states: Sequence[JobState], now: int) -> None:
+    """Record since when the jobs that may start have found no machine; `job_states` are those that
+    this plan considered."""
+    limits = TeamLimits(shard)
+    unplaced = {
+        job_state.job.ref
+        for job_state in job_states
+        if _has_no_machine(job_state) and limits.allow(job_state.job, _tasks_to_start(job_state))
+    }
+    for ref, job_state in shard.job_states.items():
+        if ref not in unplaced:
+            job_state.unplaced_since = 0
+        elif not job_state.unplaced_since:
+            job_state.unplaced_since = now
+
+
+def _has_no_machine(job_state: JobState) -> bool:
+    """Whether the job waits for a machine and nothing that it runs will ever make room: a replica
+    runs for good, while the waiting tasks of other jobs can follow those that run."""
+    return job_state.waiting > 0 and (job_state.job.service or not job_state.live)
+
+
+def _tasks_to_start(job_state: JobState) -> int:
+    return job_state.job.tasks if job_state.job.gang else 1
--- a/basaltlead/scaling/fleet_demand.py
+++ b/basaltlead/scaling/fleet_demand.py
@@ -47,6 +47,8 @@
         for state in sorted(job_states, key=lambda state: (-state.job.rank, state.submitted_at)):
             state.need = counts[state.job.ref]
             need = TaskDemand(state, state.need, run_us=shard.estimated_run_us(state))
+            if state.unplaced_since and now - state.unplaced_since > demand.MAX_INITIAL_WAIT_US:
+                need.room_since = now - demand.MAX_INITIAL_WAIT_US
             if state.job.shape is Shape.ARRAY:
                 own_cpu_us = remaining_cpu_us[state.job.ref]
                 need.backlog_us = capacity.backlog_us(state, own_cpu_us, backlog)
--- a/tests/test_fleet_sizing.py
+++ b/tests/test_fleet_sizing.py
@@ -1,16 +1,20 @@
 """Fleet sizing: what is rented for waiting tasks."""
 
+import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from basaltlead.core import fleet_sizing
-from basaltlead.core.demand import RentedCapacity
+from basaltlead.core.demand import MAX_INITIAL_WAIT_US, RentedCapacity
 from basaltlead.core.entities import JobState, Machine
 from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import SERVICE_RUN_TIME_US, US, Shape
 from basaltlead.core.offers import Offer, RentableOffers
+from basaltlead.core.planning import plan
+from basaltlead.core.teams import TeamQuota
 from tests.builders import MACHINE_TYPE, ShardHarness, make_job
 from tests.fakes import Deployment
 from tests.simulation import Loop, simulated
@@ -173,6 +177,109 @@
     deployment.assert_no_violation()
 
 
+# Jobs that find no machine, although sizing counts room for them
+
+STARVED_S = MAX_INITIAL_WAIT_US / US
+BOOT_AND_START_S = 15.0
+
+
+async def _submit_small_tasks(deployment: Deployment) -> None:
+    """Keep about half of a large machine busy with tasks that come and go."""
+    for number in itertools.count(100):
+        fields = {"Cores": 2.0, "RunS": 4.0, "GuessS": 4.0, "Grades": ["large"], "Loaners": False}
+        await deployment.submit(deployment.job(number, **fields))
+        await asyncio.sleep(deployment.rng.uniform(0.5, 1.0))
+
+
+@pytest.mark.parametrize("rank", ["standard", "best_effort"])
+@simulated
+async def test_large_task_runs_beside_a_stream_of_small_ones(loop: Loop, rank: str) -> None:
+    # Guards against a job that waits while small tasks take each piece of room that becomes free.
+    deployment = Deployment(loop)
+    await deployment.start()
+    small_tasks = loop.create_task(_submit_small_tasks(deployment))
+    await asyncio.sleep(30)
+    rented = deployment.cloud.rented_count
+
+    large = deployment.job(2, Crew="blue", Cores=15.0, Loaners=False, Rank=rank)
+    await deployment.submit(large)
+    await deployment.wait_until_done(large["Ref"], seconds=STARVED_S + BOOT_AND_START_S)
+
+    assert deployment.cloud.rented_count == rented + 1
+    small_tasks.cancel()
+    deployment.assert_no_violation()
+
+
+@pytest.mark.parametrize("waiting", ["batch", "service"])
+@pytest.mark.parametrize("running", ["batch", "service"])
+@simulated
+async def test_job_runs_beside_lower_ranks_that_it_may_not_stop(
+    loop: Loop, running: str, waiting: str
+) -> None:
+    # Guards against a job that waits for room of lower ranks that sizing counts as its own.
+    deployment = Deployment(loop)
+    await deployment.start()
+    filler = deployment.job(9, Cores=14.0, RunS=20.0, GuessS=20.0, Loaners=False)
+    await deployment.submit(filler)
+    await deployment.wait_until_served(filler["Ref"])
+    for_long = {"Shape": running, "RunS": 900.0, "GuessS": 900.0, "Loaners": False}
+    await deployment.submit(deployment.job(1, Cores=2.0, Rank="best_effort", **for_long))
+    await deployment.wait_until_served("req-000001")
+    await deployment.wait_until_done(filler["Ref"])
+    rented = deployment.cloud.rented_count
+    assert rented == 1
+
+    fields = {"Shape": waiting, "Crew": "blue", "Cores": 15.0, "RunS": 30.0, "Loaners": False}
+    await deployment.submit(deployment.job(2, **fields))
+    await deployment.wait_until_served("req-000002", seconds=STARVED_S + BOOT_AND_START_S)
+
+    assert len(deployment.running_tasks("req-000001")) == 1
+    assert sum(m.machine_type["Label"] == "large" for m in deployment.cloud.machines.values()) == 2
+    deployment.assert_no_violation()
+
+
+def test_job_that_no_plan_places_gets_one_machine_that_its_tasks_can_follow_to() -> None:
+    harness = ShardHarness(machines=2)
+    job_state = harness.shard.add_job(make_job(tasks=3, cpus=2.0), 200, harness.now)
+    machines = list(harness.shard.machines.values())
+
+    def rented(room_since: int) -> int:
+        needs = [TaskDemand(job_state, 3, 0.0, room_since=room_since)]
+        offers = RentableOffers(UNLIMITED_OFFERS)
+        types = {"k": MACHINE_TYPE}
+        return len(fleet_sizing.plan_fleet(needs, [], machines, types, offers, 12).rentals)
+
+    assert rented(0) == 0
+    assert rented(harness.now - US) == 0  # the machines have come up since
+    assert rented(harness.now) == 1
+    harness.add("m-2")
+    machines = list(harness.shard.machines.values())
+    assert rented(harness.now) == 0  # it boots
+
+
+def test_time_without_a_machine_counts_only_while_one_may_be_used() -> None:
+    harness = ShardHarness(quotas={"red": TeamQuota(cpus_max=4.0)})
+    running = harness.submit(1, cpus=4.0)
+    at_limit = harness.submit(2, cpus=1.0)
+    other_team = harness.submit(3, cpus=1.0, team="blue")
+    array = harness.submit(4, cpus=1.0, tasks=2, team="blue")
+    assert not array.live
+    assert running.live
+
+    assert not running.unplaced_since
+    assert not at_limit.unplaced_since
+    assert other_team.unplaced_since == harness.now
+    other_team.retry_at = harness.now + US
+    plan(harness.shard, harness.now)
+    assert not other_team.unplaced_since
+    harness.add("m-1")
+    harness.heartbeat("m-1")
+    plan(harness.shard, harness.now)
+
+    assert array.live
+    assert not array.unplaced_since
+
+
 @simulated
 async def test_nothing_is_rented_for_a_short_backlog_that_fits_beside_a_service(loop: Loop) -> None:
     deployment = Deployment(loop)
