A gang's image fetches go on when another of its tasks has waited too long

Cause: when a task ended with `incomplete`, all others were stopped, those that fetch included. A machine gives up a fetch that no task waits for, so each try ended like the one before.

Change: the tasks that fetch go on until they have their image, and are stopped then; after that the gang is started anew, on machines that have its image (AttemptTable.stop_incomplete). A log line tells of each gang that was not complete in time.

The fake workers now fetch for as long as a test asks and end a task of a gang that waits for longer than gang_wait_s.

--- a/basaltlead/core/attempt_table.py
+++ b/basaltlead/core/attempt_table.py
@@ -5,7 +5,7 @@
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.open_jobs import OpenJobs
 from basaltlead.core.signals import ShardSignals
-from basaltlead.core.task_states import PLANNED, RUNNING, SENT
+from basaltlead.core.task_states import FETCHING, PLANNED, RUNNING, SENT
 from basaltlead.core.teams import TeamUsage
 
 ATTEMPT_COUNTER_BITS = 24  # 16 million attempts, then the next of the grant's tokens is used
@@ -78,6 +78,26 @@
         for attempt in list(job_state.live.values()):
             self.stop(attempt, 0.0)
 
+    def stop_incomplete(self, job_state: JobState) -> None:
+        """Stop a gang of which a task has waited too long for the others. Those that fetch their
+        image are stopped once they have it.
+
+        A machine gives up a fetch that no task waits for. Without the image there the next start
+        would fail like this one, and so would each later one
+        (test_gang_starts_although_an_image_takes_longer_than_its_tasks_wait).
+        """
+        for attempt in list(job_state.live.values()):
+            if attempt.stage == FETCHING and attempt.stop_grace_s is None:
+                attempt.stops_after_fetch = True
+            else:
+                self.stop(attempt, 0.0)
+
+    def note_image_present(self, attempt: Attempt) -> None:
+        """Note that an attempt has its image, and stop it if its gang is to be started anew."""
+        attempt.machine.cache_image(attempt.job_state.job.image, attempt.job_state.job.image_gb)
+        if attempt.stops_after_fetch:
+            self.stop(attempt, 0.0)
+
     def stop_gracefully(self, attempt: Attempt) -> None:
         """Stop an attempt, with time to save its progress if it can; a gang is stopped as a
         whole."""
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -40,6 +40,7 @@
         "start_in_flight",
         "start_unacknowledged",
         "stop_grace_s",
+        "stops_after_fetch",
     )
 
     def __init__(
@@ -57,6 +58,8 @@
         # The seconds that it has to save a checkpoint once it is to stop; None until then.
         self.stop_grace_s: float | None = None
         self.pushed_grace_s: float | None = None  # grace period of the last pushed halt, if any
+        # Its gang is to be started anew once this attempt has fetched its image.
+        self.stops_after_fetch = False
         # Messages up to this sequence number say nothing about the attempt. It is the number of the
         # heartbeat whose answer carried the start command, or of the worker's answer to the pushed
         # start.
--- a/basaltlead/core/gang_placement.py
+++ b/basaltlead/core/gang_placement.py
@@ -145,12 +145,16 @@
     def _replace_lost(self, job_state: JobState) -> None:
         """Replace lost tasks of a gang that does not run yet, under the same attempt number.
 
-        Once a task has run, or is to stop, the others end as well and the gang is placed anew.
+        Once a task has run, or is to stop now or after its fetch, the others end as well and the
+        gang is placed anew.
         """
         live = list(job_state.live.values())
         attempt_number = live[0].attempt_number
         if any(
-            a.stop_grace_s is not None or a.attempt_number != attempt_number or a.stage in EXECUTING
+            a.stop_grace_s is not None
+            or a.stops_after_fetch
+            or a.attempt_number != attempt_number
+            or a.stage in EXECUTING
             for a in live
         ):
             return
--- a/basaltlead/core/task_reports.py
+++ b/basaltlead/core/task_reports.py
@@ -50,7 +50,7 @@
             self._end(attempt, reported, now)
             return
         if stage in IMAGE_PRESENT and attempt.stage not in IMAGE_PRESENT:
-            attempt.machine.cache_image(attempt.job_state.job.image, attempt.job_state.job.image_gb)
+            self._attempts.note_image_present(attempt)
         if stage == RUNNING and not attempt.running_since:
             self._begin_run(attempt, now)
         attempt.stage = stage
@@ -85,7 +85,10 @@
             return
         if not ran_long or reason != ExitReason.ERROR:
             self._failures.record_exit(machine, job_state, reason, now)
-        if job.gang and reason in GANG_ENDING_REASONS:
+        if job.gang and reason == ExitReason.INCOMPLETE:
+            self._log(f"gang {job.ref} was not complete in time on {machine.name}")
+            self._attempts.stop_incomplete(job_state)
+        elif job.gang and reason in GANG_ENDING_REASONS:
             self._attempts.stop_all(job_state)
 
     def _complete(self, attempt: Attempt, now: int) -> None:
--- a/basaltlead/core/task_states.py
+++ b/basaltlead/core/task_states.py
@@ -69,11 +69,11 @@
 IMAGE_PRESENT = (RUNNING, SAVING, GATHERING)
 # States in which the task is running, or saving its progress after it ran.
 EXECUTING = (RUNNING, SAVING)
-# If one task of a gang ends for one of these reasons, the other tasks are stopped.
+# If one task of a gang ends for one of these reasons, the other tasks are stopped at once. See
+# `AttemptTable.stop_incomplete` for INCOMPLETE.
 GANG_ENDING_REASONS = frozenset(
     {
         ExitReason.PEERS,
-        ExitReason.INCOMPLETE,
         ExitReason.ERROR,
         ExitReason.FULL,
         ExitReason.NO_SUCH,
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -108,7 +108,7 @@
                 "workers": {
                     "report_s": FakeWorker.HEARTBEAT_INTERVAL_S,
                     "lease_s": self.lease,
-                    "gang_wait_s": 20.0,
+                    "gang_wait_s": FakeWorker.GANG_WAIT_S,
                     "gang_peer_s": 4.0,
                     "cancel_s": self.cancel_s,
                 },
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -21,6 +21,7 @@
     HEARTBEAT_INTERVAL_S = 1.0
     LEASE_S = 6.0
     IMAGE_FETCH_S = 0.5
+    GANG_WAIT_S = 20.0  # how long a task of a gang waits for the others once it has its image
 
     def __init__(
         self,
@@ -55,6 +56,7 @@
         self.sends_no_heartbeats = False  # it still executes pushed commands
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}  # by task and attempt number
         self.images: set[str] = set()  # images fetched so far
+        self.image_fetch_s = self.IMAGE_FETCH_S
         self.state_changed = asyncio.Event()
         self.executed_starts: list[Request] = []  # pushed, carried out and answered
         self.started: set[tuple[int, str, int]] = set()  # by epoch, task and attempt number
@@ -246,8 +248,7 @@
         image = job["Mould"]
         if self.deployment.caches_images and image in self.images:
             return 0.0
-        self.images.add(image)
-        return self.IMAGE_FETCH_S
+        return self.image_fetch_s
 
     def has_room_for(self, job: dict[str, Any]) -> bool:
         """Whether a task of the job could be started here now; False if that is uncertain."""
@@ -291,14 +292,17 @@
                 job = self.deployment.jobs[task.partition("/")[0]]
                 if entry["Stage"] == "fetching" and now >= entry["at"]:
                     self.deployment.rule_checker.task_started(task, self, key[1])
+                    self.images.add(job["Mould"])
                     is_gang = job["Shape"] == "group"
                     entry["Stage"] = "gathering" if is_gang else "running"
-                    entry["at"] = now + self._run_s(job)
+                    entry["at"] = now + (self.GANG_WAIT_S if is_gang else self._run_s(job))
                     self.state_changed.set()
                 if entry["Stage"] == "gathering" and self.deployment.gang_complete(task, key[1]):
                     entry["Stage"] = "running"
                     entry["at"] = now + job["RunS"]
                     self.state_changed.set()
+                elif entry["Stage"] == "gathering" and now >= entry["at"]:
+                    self._end(key, "incomplete")
                 if entry["Stage"] == "running" and now >= entry["at"]:
                     if job["Shape"] == "group":
                         self.deployment.end_gang(task, key[1])
