A job that failed on one machine only is tried on another one

Sizing counts the machine as room for the job, so that no other is rented; and the pauses between tries are longer than the 30 s for which the job avoids the machine.

Change: FailureHistory.only_failed_on is the machine on which alone the trials since the last success failed, two of them at least. It is no room for that job (UnusableRoom, which also takes over the rule for jobs that no plan has placed). After a pause the job avoids the last machine for 5 s more. A job that fails everywhere has one machine rented for its trials at most.

The fakes let a gang complete on a faulty machine; its task there fails now.

--- a/basaltlead/core/failures.py
+++ b/basaltlead/core/failures.py
@@ -63,11 +63,12 @@
         if ran_us >= STABLE_RUN_US:
             history.replica_ran_long = True
             history.trials = 0
+            history.record_success()
             return True
         if reason == ExitReason.DONE:
             history.record_trial(attempt.machine.name, now)
             if history.trials >= TRIALS_BEFORE_PAUSE:
-                job_state.retry_at = now + retry_pause_us(history.trials)
+                _pause(job_state, attempt.machine, now + retry_pause_us(history.trials))
         return False
 
     def withdraw_failures(self, job_state: JobState) -> None:
@@ -92,7 +93,7 @@
         if history.trials >= TRIALS_BEFORE_PAUSE:
             # A service's replicas fail together, so its failures overstate how often it was tried.
             tried = history.trials if job_state.job.service else history.failures
-            job_state.retry_at = now + retry_pause_us(tried)
+            _pause(job_state, machine, now + retry_pause_us(tried))
 
     def _record_machine_failure(self, machine: Machine, job_state: JobState, now: int) -> None:
         """Cordon the machine for a while, and drain it once enough jobs have failed there: fewer
@@ -106,3 +107,9 @@
             self._log(
                 f"machine {machine.name} is faulty: jobs {sorted(machine.failed_jobs)} failed on it"
             )
+
+
+def _pause(job_state: JobState, machine: Machine, until: int) -> None:
+    """Start nothing of the job until then, after it failed on this machine."""
+    job_state.retry_at = until
+    job_state.failure_history.record_pause(machine.name, until)
--- a/basaltlead/core/fleet_sizing.py
+++ b/basaltlead/core/fleet_sizing.py
@@ -18,14 +18,13 @@
     count: int
     backlog_us: float = float("inf")  # time until the rented machines have done all open work
     run_us: int = 0  # estimated run time of a task of the job
-    # Only machines that came up after this are room for the job; 0: all are. Plans have found none
-    # among the older ones (`JobState.unplaced_since`), whatever sizing takes for room there.
-    room_since: int = 0
+    # Names of machines that are no room for the job, whatever is free there.
+    no_room_on: frozenset[str] = frozenset()
 
     @property
     def tasks_without_room(self) -> int:
-        """How many tasks `room_since` applies to: of an array one, which the others can follow."""
-        if not self.room_since:
+        """How many tasks `no_room_on` applies to: of an array one, which the others can follow."""
+        if not self.no_room_on:
             return 0
         return 1 if self.job_state.job.shape is Shape.ARRAY else self.count
 
@@ -59,13 +58,9 @@
         self.room = Resources.of(machine_type)
         self.used = 0
 
-    def came_up_after(self, time_us: int) -> bool:
-        """Whether the machine came up after this time, or has yet to."""
-        return (
-            self.machine is None
-            or not self.machine.usage.up_at
-            or self.machine.usage.up_at > time_us
-        )
+    def is_one_of(self, machines: frozenset[str]) -> bool:
+        """Whether it is one of these machines, given by name."""
+        return self.machine is not None and self.machine.name in machines
 
     def image_count(self, wanted: frozenset[str]) -> int:
         """How many of these images are on the machine; 0 if it is to be rented."""
@@ -140,20 +135,20 @@
             unplaced.append(max(0, need.count - sum(map(self._keep_in_place, live))))
         self._drop_full_bins()
         for position, need in enumerate(needs):
-            unplaced[position] -= self._place_on_new_machines(need, unplaced[position])
+            unplaced[position] -= self._place_elsewhere(need, unplaced[position])
         for need, count in zip(needs, unplaced, strict=True):
             zone_room = self._zone_room(need.job_state, count)
             self._place(need.job_state.job, count, zone_room, need.backlog_us)
 
-    def _place_on_new_machines(self, need: TaskDemand, unplaced: int) -> int:
-        """Place the tasks for which only machines that came up lately, or will, are room. Returns
-        how many of them were placed. They come before others of their rank, which would otherwise
-        take these machines and leave the older ones."""
+    def _place_elsewhere(self, need: TaskDemand, unplaced: int) -> int:
+        """Place the tasks for which some machines are no room, and return how many were placed.
+        They come before others of their rank, which would otherwise take the machines that are left
+        to them."""
         count = min(unplaced, need.tasks_without_room)
         if count <= 0:
             return 0
         with_room, rented_before = self._with_room, len(self._bins)
-        self._with_room = [b for b in with_room if b.came_up_after(need.room_since)]
+        self._with_room = [b for b in with_room if not b.is_one_of(need.no_room_on)]
         zone_room = self._zone_room(need.job_state, count)
         placed = self._place(need.job_state.job, count, zone_room, float("inf"))
         self._with_room = with_room + self._bins[rented_before:]
--- a/basaltlead/core/task_reports.py
+++ b/basaltlead/core/task_reports.py
@@ -96,6 +96,7 @@
         result stands for all its tasks."""
         job_state = attempt.job_state
         attempt.machine.failed_jobs.clear()
+        job_state.failure_history.record_success()
         run_time_known = attempt.running_since and not attempt.adopted
         if (
             run_time_known
--- a/basaltlead/scaling/fleet_demand.py
+++ b/basaltlead/scaling/fleet_demand.py
@@ -5,6 +5,7 @@
 from basaltlead.core.fleet_sizing import TaskDemand, WarmSpare
 from basaltlead.core.jobs import US, Job, Shape
 from basaltlead.core.market import Market
+from basaltlead.core.unusable_room import UnusableRoom
 from basaltlead.shard.arrivals import ArrivalHistory, ClassArrivals
 from basaltlead.shard.context import ShardContext
 
@@ -42,13 +43,13 @@
             remaining_cpu_us,
         )
         capacity = demand.RentedCapacity(expected_machines)
+        unusable = UnusableRoom(expected_machines, now)
         backlog = sum(remaining_cpu_us.values())
         needs = []
         for state in sorted(job_states, key=lambda state: (-state.job.rank, state.submitted_at)):
             state.need = counts[state.job.ref]
             need = TaskDemand(state, state.need, run_us=shard.estimated_run_us(state))
-            if state.unplaced_since and now - state.unplaced_since > demand.MAX_INITIAL_WAIT_US:
-                need.room_since = now - demand.MAX_INITIAL_WAIT_US
+            need.no_room_on = unusable.by(state)
             if state.job.shape is Shape.ARRAY:
                 own_cpu_us = remaining_cpu_us[state.job.ref]
                 need.backlog_us = capacity.backlog_us(state, own_cpu_us, backlog)
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -304,10 +304,10 @@
                 elif entry["Stage"] == "gathering" and now >= entry["at"]:
                     self._end(key, "incomplete")
                 if entry["Stage"] == "running" and now >= entry["at"]:
-                    if job["Shape"] == "group":
-                        self.deployment.end_gang(task, key[1])
-                    elif self.faulty or job.get("Broken"):
+                    if self.faulty or job.get("Broken"):
                         self._end(key, "error")
+                    elif job["Shape"] == "group":
+                        self.deployment.end_gang(task, key[1])
                     elif job["Shape"] == "service":
                         self._end(key, job.get("EndsWith", "error"))
                     else:
--- a/tests/test_fleet_sizing.py
+++ b/tests/test_fleet_sizing.py
@@ -15,6 +15,7 @@
 from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.planning import plan
 from basaltlead.core.teams import TeamQuota
+from basaltlead.core.unusable_room import UnusableRoom
 from tests.builders import MACHINE_TYPE, ShardHarness, make_job
 from tests.fakes import Deployment
 from tests.simulation import Loop, simulated
@@ -241,20 +242,28 @@
 def test_job_that_no_plan_places_gets_one_machine_that_its_tasks_can_follow_to() -> None:
     harness = ShardHarness(machines=2)
     job_state = harness.shard.add_job(make_job(tasks=3, cpus=2.0), 200, harness.now)
-    machines = list(harness.shard.machines.values())
 
-    def rented(room_since: int) -> int:
-        needs = [TaskDemand(job_state, 3, 0.0, room_since=room_since)]
+    def rented() -> int:
+        machines = list(harness.shard.machines.values())
+        no_room_on = UnusableRoom(machines, harness.now).by(job_state)
+        needs = [TaskDemand(job_state, 3, 0.0, no_room_on=no_room_on)]
         offers = RentableOffers(UNLIMITED_OFFERS)
         types = {"k": MACHINE_TYPE}
         return len(fleet_sizing.plan_fleet(needs, [], machines, types, offers, 12).rentals)
 
-    assert rented(0) == 0
-    assert rented(harness.now - US) == 0  # the machines have come up since
-    assert rented(harness.now) == 1
+    assert rented() == 0
+    job_state.unplaced_since = harness.now - 2 * MAX_INITIAL_WAIT_US
+    assert rented() == 0  # the machines have come up since
+    harness.now += MAX_INITIAL_WAIT_US
+    assert rented() == 1
     harness.add("m-2")
-    machines = list(harness.shard.machines.values())
-    assert rented(harness.now) == 0  # it boots
+    assert rented() == 0  # it boots
+    harness.now += MAX_INITIAL_WAIT_US
+    harness.heartbeat("m-2")
+    assert rented() == 0  # it has just come up
+    harness.now += MAX_INITIAL_WAIT_US
+
+    assert rented() == 1
 
 
 def test_time_without_a_machine_counts_only_while_one_may_be_used() -> None:
