No machine is rented for tasks that their team's limit keeps waiting

Plans ask the limits before each start, fleet sizing did not ask.

Change: TeamAllowances hands out what the limits leave, job by job, with the sums that TeamLimits asks. The sums of one pass stand in a class of their own in scaling/fleet_demand.py.

--- a/basaltlead/core/planning.py
+++ b/basaltlead/core/planning.py
@@ -16,7 +16,7 @@
 from basaltlead.core.replica_placement import ReplicaPlacement
 from basaltlead.core.shard import Shard
 from basaltlead.core.start_order import start_order
-from basaltlead.core.team_limits import TeamLimits
+from basaltlead.core.team_limits import TeamLimits, tasks_to_start
 
 
 def plan(shard: Shard, now: int) -> None:
@@ -59,7 +59,7 @@
     unplaced = {
         job_state.job.ref
         for job_state in job_states
-        if _has_no_machine(job_state) and limits.allow(job_state.job, _tasks_to_start(job_state))
+        if _has_no_machine(job_state) and limits.allow(job_state.job, tasks_to_start(job_state.job))
     }
     for ref, job_state in shard.job_states.items():
         if ref not in unplaced:
@@ -72,7 +72,3 @@
     """Whether the job waits for a machine and nothing that it runs will ever make room: a replica
     runs for good, while the waiting tasks of other jobs can follow those that run."""
     return job_state.waiting > 0 and (job_state.job.service or not job_state.live)
-
-
-def _tasks_to_start(job_state: JobState) -> int:
-    return job_state.job.tasks if job_state.job.gang else 1
--- a/basaltlead/core/unusable_room.py
+++ b/basaltlead/core/unusable_room.py
@@ -28,12 +28,16 @@
         If no plan has placed the job for `MAX_INITIAL_WAIT_US`, these are all machines that have
         been up for that time. If its trials failed on a single machine only, it is that machine.
         """
-        unplaced_since = job_state.unplaced_since
-        if unplaced_since and self._now - unplaced_since > MAX_INITIAL_WAIT_US:
+        if self.has_waited_in_vain(job_state):
             return self._up_for_long
         failed_on = job_state.failure_history.only_failed_on
         return NO_MACHINES if failed_on is None else frozenset((failed_on,))
 
+    def has_waited_in_vain(self, job_state: JobState) -> bool:
+        """Whether no plan has placed the job for `MAX_INITIAL_WAIT_US`, though it may start."""
+        since = job_state.unplaced_since
+        return bool(since) and self._now - since > MAX_INITIAL_WAIT_US
+
     @cached_property
     def _up_for_long(self) -> frozenset[str]:
         """The machines that every job has had time to be placed on."""
--- a/basaltlead/scaling/fleet_demand.py
+++ b/basaltlead/scaling/fleet_demand.py
@@ -1,10 +1,12 @@
 """The capacity that a shard needs: for tasks of open jobs, and warm spares for future jobs."""
 
 from basaltlead.core import demand
-from basaltlead.core.entities import Machine
+from basaltlead.core.entities import JobState, Machine
 from basaltlead.core.fleet_sizing import TaskDemand, WarmSpare
 from basaltlead.core.jobs import US, Job, Shape
 from basaltlead.core.market import Market
+from basaltlead.core.shard import Shard
+from basaltlead.core.team_limits import TeamAllowances, tasks_to_start
 from basaltlead.core.unusable_room import UnusableRoom
 from basaltlead.shard.arrivals import ArrivalHistory, ClassArrivals
 from basaltlead.shard.context import ShardContext
@@ -42,18 +44,11 @@
             self.shortest_boot_us(),
             remaining_cpu_us,
         )
-        capacity = demand.RentedCapacity(expected_machines)
-        unusable = UnusableRoom(expected_machines, now)
-        backlog = sum(remaining_cpu_us.values())
+        sizing_pass = _SizingPass(shard, expected_machines, remaining_cpu_us, now)
         needs = []
         for state in sorted(job_states, key=lambda state: (-state.job.rank, state.submitted_at)):
             state.need = counts[state.job.ref]
-            need = TaskDemand(state, state.need, run_us=shard.estimated_run_us(state))
-            need.no_room_on = unusable.by(state)
-            if state.job.shape is Shape.ARRAY:
-                own_cpu_us = remaining_cpu_us[state.job.ref]
-                need.backlog_us = capacity.backlog_us(state, own_cpu_us, backlog)
-            needs.append(need)
+            needs.append(sizing_pass.demand_of(state, state.need))
         return needs
 
     def shortest_boot_us(self) -> int:
@@ -91,6 +86,46 @@
         return None if boot_us * BOOT_TIME_FACTOR + fetch_s * US <= within_us else boot_us
 
 
+class _SizingPass:
+    """What one pass of fleet sizing counts for all jobs together."""
+
+    def __init__(
+        self,
+        shard: Shard,
+        expected_machines: list[Machine],
+        remaining_cpu_us: dict[str, float],
+        now: int,
+    ) -> None:
+        self._shard = shard
+        self._remaining_cpu_us = remaining_cpu_us
+        self._backlog = sum(remaining_cpu_us.values())
+        self._capacity = demand.RentedCapacity(expected_machines)
+        self._allowances = TeamAllowances(shard)
+        self._unusable = UnusableRoom(expected_machines, now)
+
+    def demand_of(self, state: JobState, wanted: int) -> TaskDemand:
+        """The demand of a job of which `wanted` tasks should run. Jobs come in order of rank."""
+        need = TaskDemand(
+            state,
+            self._allowed(state, wanted),
+            run_us=self._shard.estimated_run_us(state),
+            no_room_on=self._unusable.by(state),
+        )
+        if state.job.shape is Shape.ARRAY:
+            own_cpu_us = self._remaining_cpu_us[state.job.ref]
+            need.backlog_us = self._capacity.backlog_us(state, own_cpu_us, self._backlog)
+        return need
+
+    def _allowed(self, state: JobState, wanted: int) -> int:
+        """How many of the wanted tasks the limit of the job's team allows."""
+        if not self._unusable.has_waited_in_vain(state):
+            return self._allowances.take(state, wanted)
+        # Its team is below its limit. It takes nothing from others of its team, since it may never
+        # find a machine.
+        least = len(state.live) + tasks_to_start(state.job)
+        return max(least, self._allowances.allowed(state, wanted))
+
+
 def _warm_spare(arrivals: ClassArrivals, boot_us: int, now: int) -> WarmSpare | None:
     """Capacity for the tasks that arrive during a boot, at least one; None without arrivals."""
     recent = [arrival for arrival in arrivals.recent if now - arrival.at < ARRIVAL_SPAN_US]
