Commands for a machine are divided into messages that its worker accepts

The push with its starts is larger than 64 KiB, and refused.

Cause: pushed commands had no limit; answers to heartbeats had one in commands, a guess about names, and what was cut from an answer counted as sent.

Change: commands are collected in a CommandMessage, which takes as many as fit in bytes as they are sent (shard/worker_commands.py); only these count as sent, the rest follows in the next message. The same for starts, halts and forgets, pushed and in answers.

--- a/basaltlead/core/commands.py
+++ b/basaltlead/core/commands.py
@@ -1,7 +1,6 @@
 """Generates the commands for a machine from the state that it last reported."""
 
-from msgspec import Struct
-
+from basaltlead.core.command_message import CommandMessage, MessageLimit, TaskCommand
 from basaltlead.core.entities import Attempt, Machine
 from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.open_jobs import OpenJobs
@@ -20,29 +19,19 @@
     CommandVerb,
 )
 
-MAX_COMMANDS = 250  # per message, which keeps it well below 64 KiB
 # While commands are in flight, a machine is not told to forget attempts, since the higher token
 # would have it refuse them. With more ended attempts than this it is: its report, at about 100
 # bytes for an attempt, must stay far below 64 KiB.
 MAX_DEFERRED_FORGETS = 100
 
 
-class TaskCommand(Struct):
-    """A command for one attempt of a task."""
-
-    verb: CommandVerb
-    ref: str
-    index: int
-    attempt_number: int
-    grace_s: float | None = None  # for halts: the time that the task has to save a checkpoint
-
-
 class CommandGenerator:
     """Generates the commands that answer heartbeats and those that are pushed."""
 
-    def __init__(self, jobs: OpenJobs, tokens: FencingTokens) -> None:
+    def __init__(self, jobs: OpenJobs, tokens: FencingTokens, limit: MessageLimit) -> None:
         self._jobs = jobs
         self._tokens = tokens
+        self._limit = limit
 
     # Answers to heartbeats
 
@@ -51,50 +40,50 @@
         repeated until the machine's reports show that it was executed."""
         if not machine.synced or machine.terminating:
             return []
-        commands = [*self._orphan_commands(machine), *_stop_commands(machine)]
+        message = CommandMessage(self._limit)
+        self._add_orphan_commands(message, machine)
+        _add_stop_commands(message, machine)
         for attempt in _startable(machine):
+            if not message.add(_task_command(RUN, attempt)):
+                break
             attempt.stage = SENT
             attempt.sent_sequence = sequence
-            commands.append(_task_command(RUN, attempt))
-        return commands[:MAX_COMMANDS]
+        return message.commands
 
-    def _orphan_commands(self, machine: Machine) -> list[TaskCommand]:
-        """HALT for orphaned attempts that have not ended, and FORGET for ended ones whose result
-        would not be lost; the rest is sent with the next answer."""
-        halts: list[TaskCommand] = []
+    def _add_orphan_commands(self, message: CommandMessage, machine: Machine) -> None:
+        """Add HALT for orphaned attempts that have not ended, and FORGET for ended ones whose
+        result would not be lost."""
         forgets: list[TaskCommand] = []
         for key, orphan in machine.orphaned_attempts.items():
             if not orphan.ended:
-                halts.append(TaskCommand(HALT, *key, 0.0))
+                message.add(TaskCommand(HALT, *key, 0.0))
             elif self._is_forgettable(key, orphan):
                 forgets.append(TaskCommand(FORGET, *key))
-            if len(halts) + len(forgets) >= MAX_COMMANDS:
-                break
-        if not forgets or _defers_forgets(machine) or not self._tokens.allow_forget(machine):
-            return halts
-        return halts + forgets
+        if forgets and not _defers_forgets(machine) and self._tokens.allow_forget(machine):
+            for forget in forgets:
+                message.add(forget)
 
     def halts_for_closed_jobs(self, heartbeat: WorkerReport) -> list[TaskCommand]:
         """Halts for tasks of closed jobs, on a machine that has not sent our fencing token.
 
         The answer renews the worker's lease and may be the last that the worker receives, so it
         must contain the halt for a job that was cancelled long before our grant."""
-        commands: list[TaskCommand] = []
+        message = CommandMessage(self._limit)
         for reported in heartbeat.tasks:
             ref, index = parse_task(reported.task)
             if reported.stage != ENDED and self._jobs.is_closed(ref):
-                commands.append(TaskCommand(HALT, ref, index, reported.attempt_number, 0.0))
-        return commands[:MAX_COMMANDS]
+                message.add(TaskCommand(HALT, ref, index, reported.attempt_number, 0.0))
+        return message.commands
 
     # Commands that are pushed
 
     def take_push_commands(self, machine: Machine) -> tuple[list[TaskCommand], list[Attempt]]:
         """The commands to push now, and the starts among them. While a pushed start is in flight,
         answers to heartbeats do not contain it. Its task stays bound to the machine until the start
-        is acknowledged."""
+        is acknowledged. What does not fit into the message is pushed after it."""
         if not machine.synced or machine.terminating or machine.lost or not machine.address:
             return [], []
-        commands: list[TaskCommand] = []
+        message = CommandMessage(self._limit)
         for attempt in machine.attempts.values():
             if (
                 attempt.stop_grace_s is None
@@ -102,18 +91,21 @@
                 or attempt.stage in BEFORE_FIRST_REPORT
             ):
                 continue
-            attempt.pushed_grace_s = attempt.stop_grace_s
-            commands.append(_task_command(HALT, attempt, attempt.stop_grace_s))
+            if message.add(_task_command(HALT, attempt, attempt.stop_grace_s)):
+                attempt.pushed_grace_s = attempt.stop_grace_s
         if not self._tokens.allow_push(machine):
-            return commands, []  # the answer to the next heartbeat carries the starts
-        pushed_starts = [attempt for attempt in _startable(machine) if attempt.stage == PLANNED]
+            return message.commands, []  # the answer to the next heartbeat carries the starts
+        pushed_starts = [
+            attempt
+            for attempt in _startable(machine)
+            if attempt.stage == PLANNED and message.add(_task_command(RUN, attempt))
+        ]
         if pushed_starts:
             self._tokens.note_pushed_starts(machine)
         for attempt in pushed_starts:
             attempt.stage = SENT
             attempt.start_in_flight = True
-            commands.append(_task_command(RUN, attempt))
-        return commands, pushed_starts
+        return message.commands, pushed_starts
 
     # Returning machines
 
@@ -145,21 +137,21 @@
     return machine.push_in_flight and len(machine.orphaned_attempts) <= MAX_DEFERRED_FORGETS
 
 
-def _stop_commands(machine: Machine) -> list[TaskCommand]:
-    """Halts for attempts that are to stop. A start that was never acknowledged is sent again before
-    its halt: the worker then lists the attempt, and ignores a copy of the start that arrives
+def _add_stop_commands(message: CommandMessage, machine: Machine) -> None:
+    """Add halts for attempts that are to stop. A start that was never acknowledged is sent again
+    before its halt: the worker then lists the attempt, and ignores a copy of the start that arrives
     later."""
-    commands: list[TaskCommand] = []
     for attempt in machine.attempts.values():
         if attempt.stop_grace_s is None:
             continue
+        commands = []
         if attempt.stage == SENT and attempt.start_unacknowledged:
             commands.append(_task_command(RUN, attempt))
         if attempt.stage == SAVING and attempt.stop_grace_s > 0:
             continue
         if attempt.stage != SENT or attempt.start_unacknowledged:
             commands.append(_task_command(HALT, attempt, attempt.stop_grace_s))
-    return commands
+        message.add(*commands)
 
 
 def _startable(machine: Machine) -> list[Attempt]:
--- a/basaltlead/core/shard.py
+++ b/basaltlead/core/shard.py
@@ -1,9 +1,11 @@
 """The facade through which a shard leader uses a shard: reports, decisions and commands."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from basaltlead.core.attempt_table import AttemptTable
-from basaltlead.core.commands import CommandGenerator, TaskCommand, has_pending_commands
+from basaltlead.core.command_message import UNLIMITED, MessageLimit, TaskCommand
+from basaltlead.core.commands import CommandGenerator, has_pending_commands
 from basaltlead.core.draining import Drainer
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.failures import FailurePolicy
@@ -25,6 +27,16 @@
     """Discard a log line."""
 
 
+class ShardOutput(NamedTuple):
+    """Where log lines of a shard go, and how much fits into a message to a machine."""
+
+    log: Log = _no_log
+    message_limit: MessageLimit = UNLIMITED
+
+
+NO_OUTPUT = ShardOutput()
+
+
 class Shard:
     """The state of a shard as its leader uses it: its jobs, attempts and machines.
 
@@ -39,8 +51,9 @@
         now: int,
         timing: Timing,
         teams: dict[str, TeamQuota],
-        log: Log = _no_log,
+        output: ShardOutput = NO_OUTPUT,
     ) -> None:
+        log = output.log
         self.tokens = tokens
         self.version = version  # of the grant: no other leader has started jobs accepted later
         self.acquired_at = now
@@ -54,7 +67,7 @@
         self._run_times = RunTimes()
         self._stragglers = StragglerDetector(self._attempts, self._run_times, log)
         self._drainer = Drainer(self._attempts, timing)
-        self._commands = CommandGenerator(self._jobs, tokens)
+        self._commands = CommandGenerator(self._jobs, tokens, output.message_limit)
         task_reports = TaskReports(self._jobs, self._attempts, self._failures, self._run_times, log)
         self._reconciler = HeartbeatReconciler(
             tokens, timing, self._fleet, self._attempts, task_reports
--- a/basaltlead/net/http/messages.py
+++ b/basaltlead/net/http/messages.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+MAX_BODY_BYTES = 64 * 1024  # of a request, by the protocol
+
 STATUS_OK = 200
 STATUS_CREATED = 201
 STATUS_BAD_REQUEST = 400
--- a/basaltlead/net/http/server.py
+++ b/basaltlead/net/http/server.py
@@ -8,6 +8,7 @@
 import httptools
 
 from basaltlead.net.http.messages import (
+    MAX_BODY_BYTES,
     REASONS,
     STATUS_BAD_REQUEST,
     STATUS_HEADERS_TOO_LARGE,
@@ -18,7 +19,6 @@
 )
 from basaltlead.runtime.logs import log
 
-MAX_BODY_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 REQUEST_TIMEOUT_S = 10.0  # without new data while a request is incomplete
 IDLE_TIMEOUT_S = 75.0  # between requests
--- a/basaltlead/shard/command_log.py
+++ b/basaltlead/shard/command_log.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Iterable, Sequence
 
-from basaltlead.core.commands import TaskCommand
+from basaltlead.core.command_message import TaskCommand
 from basaltlead.core.entities import Machine
 from basaltlead.core.shard import Shard
 from basaltlead.core.task_states import FORGET
--- a/basaltlead/shard/dispatcher.py
+++ b/basaltlead/shard/dispatcher.py
@@ -11,7 +11,7 @@
 
 from basaltlead.clients.workers import CommandResponse
 from basaltlead.config.settings import Settings
-from basaltlead.core.commands import TaskCommand
+from basaltlead.core.command_message import TaskCommand
 from basaltlead.core.entities import Attempt, Machine
 from basaltlead.core.jobs import US
 from basaltlead.errors import PreconditionFailed, RequestFailed, ServiceError
@@ -19,9 +19,10 @@
 from basaltlead.runtime.logs import log
 from basaltlead.shard.command_log import log_commands
 from basaltlead.shard.context import ShardContext
+from basaltlead.shard.worker_commands import to_worker_command
 from basaltlead.storage.records import MACHINE, StoredMachine
 from basaltlead.wire.store import Precondition, Put
-from basaltlead.wire.workers import DirectCommand, WorkerCommand
+from basaltlead.wire.workers import DirectCommand
 
 MIN_WORKER_SOCKETS = 8  # always available for connections to workers
 WORKER_SOCKETS_DIVISOR = 5  # a fifth of the limit on file descriptors, if that is more
@@ -45,12 +46,6 @@
     starts: list[Attempt]
 
 
-def to_worker_command(command: TaskCommand) -> WorkerCommand:
-    """Convert a task command to the form in which it is sent to a worker."""
-    task = f"{command.ref}/{command.index}"
-    return WorkerCommand(command.verb, task, command.attempt_number, command.grace_s)
-
-
 def worker_sockets(settings: Settings) -> int:
     """The maximum number of sockets for connections to workers.
 
--- a/basaltlead/shard/heartbeats.py
+++ b/basaltlead/shard/heartbeats.py
@@ -1,14 +1,15 @@
 """The handling of heartbeats from a shard's workers."""
 
 from basaltlead.clients.codec import encode
-from basaltlead.core.commands import TaskCommand
+from basaltlead.core.command_message import TaskCommand
 from basaltlead.core.entities import Machine
 from basaltlead.net.http.messages import STATUS_OK, Response
 from basaltlead.runtime.clock import now_us
 from basaltlead.runtime.logs import log
 from basaltlead.shard.command_log import ForgottenAttemptsLog, log_commands
 from basaltlead.shard.context import ShardContext
-from basaltlead.shard.dispatcher import WorkerDispatcher, to_worker_command
+from basaltlead.shard.dispatcher import WorkerDispatcher
+from basaltlead.shard.worker_commands import to_worker_command
 from basaltlead.wire.workers import Heartbeat, HeartbeatResponse
 
 
--- a/basaltlead/shard/leader.py
+++ b/basaltlead/shard/leader.py
@@ -8,7 +8,7 @@
 from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.jobs import US
 from basaltlead.core.market import Market
-from basaltlead.core.shard import Shard
+from basaltlead.core.shard import Shard, ShardOutput
 from basaltlead.core.teams import TeamQuota
 from basaltlead.core.timing import Timing
 from basaltlead.errors import ServiceError
@@ -25,6 +25,7 @@
 from basaltlead.shard.rebalancer import Rebalancer
 from basaltlead.shard.results import ResultWriter
 from basaltlead.shard.token_reservation import TokenReservation
+from basaltlead.shard.worker_commands import MESSAGE_LIMIT
 from basaltlead.wire.workers import Heartbeat
 
 MACHINE_TYPES_POLL_INTERVAL_S = 0.05  # between two checks for the machine types
@@ -153,7 +154,7 @@
         now_us(),
         timing,
         team_quotas(settings),
-        lambda text: log.info("%s", text),
+        ShardOutput(lambda text: log.info("%s", text), MESSAGE_LIMIT),
     )
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,9 +4,10 @@
 from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.jobs import US, Job, MachineType, Shape
 from basaltlead.core.planning import plan
-from basaltlead.core.shard import Shard
+from basaltlead.core.shard import Shard, ShardOutput
 from basaltlead.core.teams import TeamQuota
 from basaltlead.core.timing import Timing
+from basaltlead.shard.worker_commands import MESSAGE_LIMIT
 from basaltlead.wire.workers import Heartbeat, TaskStatus
 
 MACHINE_TYPE = MachineType("k", 4.0, 0.0, 16.0, 1.0, 0.5, 5 * US, 50.0, 1.0, ("a", "b"))
@@ -62,7 +63,7 @@
             self.now,
             TIMING,
             quotas or {"red": TeamQuota()},
-            self.logged.append,
+            ShardOutput(self.logged.append, MESSAGE_LIMIT),
         )
         self.sequences: dict[str, int] = {}
         for number in range(machines):
--- a/tests/test_starts_in_flight.py
+++ b/tests/test_starts_in_flight.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from basaltlead.core.commands import TaskCommand
+from basaltlead.core.command_message import TaskCommand
 from basaltlead.core.entities import Attempt
 from basaltlead.core.jobs import US, Shape
 from basaltlead.core.planning import plan
--- a/tests/test_worker_lease.py
+++ b/tests/test_worker_lease.py
@@ -23,7 +23,7 @@
 import msgspec
 import pytest
 
-from basaltlead.core.commands import TaskCommand
+from basaltlead.core.command_message import TaskCommand
 from basaltlead.core.entities import Attempt, JobState, Machine
 from basaltlead.core.jobs import US
 from basaltlead.core.planning import plan
