No machine is given more tasks than its report can list, by whatever places them

Cause: the places in a machine's report were asked for by arrays and services when they are placed, not by the placement of gangs, preemption, the sending of starts and fleet sizing.

Change: places are an amount of Resources like CPUs, so that all of them ask one question; starts that a machine could not list are not sent. Gangs are spread over as many machines as can list them.

--- a/basaltlead/core/demand.py
+++ b/basaltlead/core/demand.py
@@ -122,6 +122,7 @@
     cpus: float
     gpus: float
     memory_gb: float
+    tasks: int  # places in the machine's report
 
 
 class RentedCapacity:
@@ -170,4 +171,9 @@
         if attempt.job_state.job.shape is not Shape.ARRAY:
             room.take(attempt.job_state.job)
     # Rounded, so that sums in another order give the same room.
-    return Room(*(round(amount, ROOM_DIGITS) for amount in (room.cpus, room.gpus, room.memory_gb)))
+    return Room(
+        round(room.cpus, ROOM_DIGITS),
+        round(room.gpus, ROOM_DIGITS),
+        round(room.memory_gb, ROOM_DIGITS),
+        room.tasks,
+    )
--- a/basaltlead/core/entities.py
+++ b/basaltlead/core/entities.py
@@ -4,7 +4,7 @@
 """
 
 from basaltlead.core.failure_history import FailureHistory
-from basaltlead.core.jobs import US, Job, MachineType, Resources
+from basaltlead.core.jobs import MAX_TASKS_PER_MACHINE, US, Job, MachineType, Resources
 from basaltlead.core.machine_state import MachineState
 from basaltlead.core.machine_usage import MachineUsage
 from basaltlead.core.message_order import MessageOrder
@@ -15,9 +15,6 @@
 from basaltlead.core.task_states import PLANNED, RUNNING
 from basaltlead.core.worker_lease import WorkerLease
 
-# A worker's report, with the tasks that it lists, must fit into 64 KiB.
-MAX_TASKS_PER_MACHINE = 400
-
 
 class Attempt:
     """One execution of a task on a machine, from the decision to start it until it has provably
@@ -222,8 +219,9 @@
 
     def room(self) -> Resources:
         """The capacity not taken by any attempt that may be there, including those that are to
-        stop."""
+        stop. What has ended takes a place in the report until the worker has forgotten it."""
         room = Resources.of(self.machine_type)
+        room.tasks -= len(self.orphaned_attempts)
         for attempt in self.attempts.values():
             if attempt.may_be_on_machine:
                 room.take(attempt.job_state.job)
--- a/basaltlead/core/jobs.py
+++ b/basaltlead/core/jobs.py
@@ -17,6 +17,9 @@
 SERVICE_RUN_TIME_US = 24 * 3600 * US
 
 RANKS = {"best_effort": 0, "standard": 1, "high": 2, "production": 3}
+# A worker's report, with the tasks that it lists, must fit into 64 KiB
+# (test_report_of_a_full_machine_fits_into_a_request).
+MAX_TASKS_PER_MACHINE = 400
 MIN_SIZE_CPUS = 0.1  # the fewest CPUs that a task counts as
 MIN_PULL_GB_PER_S = 0.01  # assumed for a machine type without a known rate
 
@@ -87,9 +90,9 @@
         return (self.tasks + 1) // 2 if self.spread_zones else self.tasks
 
 
-def fitting_task_count(job: Job, cpus: float, gpus: float, memory_gb: float) -> int:
-    """How many tasks of a job fit into these amounts, at most all of them."""
-    most = float(job.tasks)
+def fitting_task_count(job: Job, cpus: float, gpus: float, memory_gb: float, tasks: int) -> int:
+    """How many tasks of a job fit into these amounts, at most `tasks` and all of them."""
+    most = float(min(job.tasks, tasks))
     if job.cpus > EPS:
         most = min(most, (cpus + EPS) // job.cpus)
     if job.gpus > EPS:
@@ -119,7 +122,7 @@
 
     def capacity_for(self, job: Job) -> int:
         """How many tasks of a job fit on an empty machine."""
-        return fitting_task_count(job, self.cpus, self.gpus, self.memory_gb)
+        return fitting_task_count(job, self.cpus, self.gpus, self.memory_gb, MAX_TASKS_PER_MACHINE)
 
 
 def allowed(job: Job, machine_type: str, zone: str, spot: bool) -> bool:
@@ -132,14 +135,21 @@
 
 
 class Resources:
-    """Amounts of the three resources; negative where more is taken than there is."""
+    """What a machine has for tasks: amounts of the three resources, and places in its report.
 
-    __slots__ = ("cpus", "gpus", "memory_gb")
+    Negative where more is taken than there is. All that asks what a machine still takes asks this:
+    planning, preemption, the sending of starts, and fleet sizing.
+    """
 
-    def __init__(self, cpus: float, gpus: float, memory_gb: float) -> None:
+    __slots__ = ("cpus", "gpus", "memory_gb", "tasks")
+
+    def __init__(
+        self, cpus: float, gpus: float, memory_gb: float, tasks: int = MAX_TASKS_PER_MACHINE
+    ) -> None:
         self.cpus = cpus
         self.gpus = gpus
         self.memory_gb = memory_gb
+        self.tasks = tasks
 
     def fits(self, job: Job) -> bool:
         """Whether there is room for one task of the job."""
@@ -147,21 +157,23 @@
             job.cpus <= self.cpus + EPS
             and job.gpus <= self.gpus + EPS
             and job.memory_gb <= self.memory_gb + EPS
+            and self.tasks > 0
         )
 
     def capacity_for(self, job: Job) -> int:
         """How many tasks of a job fit, at most all of them."""
-        return fitting_task_count(job, self.cpus, self.gpus, self.memory_gb)
+        return fitting_task_count(job, self.cpus, self.gpus, self.memory_gb, self.tasks)
 
     def take(self, job: Job, times: int = 1) -> None:
         """Take the room of this many tasks of the job; a negative number releases it."""
         self.cpus -= job.cpus * times
         self.gpus -= job.gpus * times
         self.memory_gb -= job.memory_gb * times
+        self.tasks -= times
 
     def copy(self) -> "Resources":
         """A copy that can be changed independently."""
-        return Resources(self.cpus, self.gpus, self.memory_gb)
+        return Resources(self.cpus, self.gpus, self.memory_gb, self.tasks)
 
     @staticmethod
     def of(machine_type: MachineType) -> "Resources":
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -60,6 +60,8 @@
         self.controller_tasks: dict[str, asyncio.Task[Any]] = {}
         self.servers: dict[str, Server] = {}  # of the workers, by host
         self.controllers: dict[str, Any] = {}
+        # The last count for `gang_complete`: gang, attempt number and time, and ready tasks
+        self._gang_counted: tuple[tuple[str, int, float], int] = (("", 0, 0.0), 0)
 
     def front_addresses(self) -> list[tuple[str, str]]:
         """Return each controller's name, and the address that users and workers call."""
@@ -274,15 +276,22 @@
         return self.acting_shard_leader()
 
     def gang_complete(self, task: str, attempt_number: int) -> bool:
-        """Whether all tasks of the gang with this attempt number are on their machines."""
+        """Whether all tasks of the gang with this attempt number are on their machines. Counted
+        once at a time for all its tasks that ask."""
         ref = task.partition("/")[0]
+        key = (ref, attempt_number, self.loop.time())
+        if self._gang_counted[0] != key:
+            self._gang_counted = (key, self._ready_count(ref, attempt_number))
         pieces: int = self.jobs[ref]["Pieces"]
-        ready = 0
-        for worker in self.cloud.machines.values():
-            for (other_task, number), entry in worker.tasks.items():
-                if other_task.partition("/")[0] == ref and number == attempt_number:
-                    ready += entry["Stage"] in ("gathering", "running")
-        return ready == pieces
+        return self._gang_counted[1] == pieces
+
+    def _ready_count(self, ref: str, attempt_number: int) -> int:
+        return sum(
+            entry["Stage"] in ("gathering", "running")
+            for worker in self.cloud.machines.values()
+            for (task, number), entry in worker.tasks.items()
+            if number == attempt_number and task.partition("/")[0] == ref
+        )
 
     def end_gang(self, task: str, attempt_number: int) -> None:
         """End the tasks of the gang with this attempt number. They complete together, or fail if
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -8,7 +8,7 @@
 from basaltlead.core.command_message import CommandMessage, MessageLimit, TaskCommand
 from basaltlead.core.entities import JobState, Machine
 from basaltlead.core.fencing_tokens import FencingTokens
-from basaltlead.core.jobs import MachineType
+from basaltlead.core.jobs import MAX_TASKS_PER_MACHINE, MachineType
 from basaltlead.core.shard import Shard, ShardOutput
 from basaltlead.core.task_states import FORGET, HALT, RUN, SENT
 from basaltlead.net.http.messages import MAX_BODY_BYTES
@@ -26,9 +26,9 @@
 class LargeMachineHarness(ShardHarness):
     """A shard with one large machine, whose names and numbers are as long as they can be."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: MessageLimit = MESSAGE_LIMIT) -> None:
         super().__init__(machines=0)
-        output = ShardOutput(message_limit=MESSAGE_LIMIT)
+        output = ShardOutput(message_limit=limit)
         tokens = FencingTokens(HIGHEST_TOKENS)
         self.shard = Shard(tokens, 100, self.now, TIMING, self.shard.teams, output)
         self.machine = Machine("m-0", LARGE, "a", False, self.now)
@@ -79,10 +79,14 @@
     return [command.index for message in messages for command in message if command.verb == verb]
 
 
+# Of the starts that a machine may be sent at once, some do not fit.
+SMALL_LIMIT = MessageLimit(MESSAGE_LIMIT.max_bytes // 4, MESSAGE_LIMIT.size_of)
+
+
 def test_pushed_starts_are_divided_over_messages() -> None:
     # Guards against requests that a worker refuses, with all the starts that they carry.
-    harness = LargeMachineHarness()
-    job_state = harness.bind()
+    harness = LargeMachineHarness(SMALL_LIMIT)
+    job_state = harness.bind(MAX_TASKS_PER_MACHINE)
     messages = [harness.push()]
     assert messages[0]
     sent = {attempt.index for attempt in job_state.live.values() if attempt.stage == SENT}
@@ -96,13 +100,12 @@
 
 
 def test_starts_in_answers_are_divided_and_only_those_sent_count_as_sent() -> None:
-    harness = LargeMachineHarness()
-    harness.shard.tokens.highest_used = HIGHEST_TOKENS.stop
-    job_state = harness.bind()
+    harness = LargeMachineHarness(SMALL_LIMIT)
+    job_state = harness.bind(MAX_TASKS_PER_MACHINE)
 
     commands = harness.report()
 
-    assert 0 < len(commands) < TASKS
+    assert 0 < len(commands) < MAX_TASKS_PER_MACHINE
     sent = {attempt.index for attempt in job_state.live.values() if attempt.stage == SENT}
     assert sent == {command.index for command in commands}
 
