Fleet sizing in modules of one job each

The demand (task_demand), a bin (packing_bin), the choice of zones (zone_choice) and the packing (packing) now stand alone.

--- a/basaltlead/scaling/fleet_demand.py
+++ b/basaltlead/scaling/fleet_demand.py
@@ -2,10 +2,10 @@
 
 from basaltlead.core import demand
 from basaltlead.core.entities import JobState, Machine
-from basaltlead.core.fleet_sizing import TaskDemand, WarmSpare
 from basaltlead.core.jobs import US, Job, Shape
 from basaltlead.core.market import Market
 from basaltlead.core.shard import Shard
+from basaltlead.core.task_demand import TaskDemand, WarmSpare
 from basaltlead.core.team_limits import TeamAllowances, tasks_to_start
 from basaltlead.core.unusable_room import UnusableRoom
 from basaltlead.shard.arrivals import ArrivalHistory, ClassArrivals
--- a/tests/test_fleet_sizing.py
+++ b/tests/test_fleet_sizing.py
@@ -10,10 +10,10 @@
 from basaltlead.core import fleet_sizing
 from basaltlead.core.demand import MAX_INITIAL_WAIT_US, RentedCapacity
 from basaltlead.core.entities import JobState, Machine
-from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import SERVICE_RUN_TIME_US, US, Shape
 from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.planning import plan
+from basaltlead.core.task_demand import TaskDemand
 from basaltlead.core.teams import TeamQuota
 from basaltlead.core.unusable_room import UnusableRoom
 from tests.builders import MACHINE_TYPE, ShardHarness, make_job
--- a/tests/test_listed_tasks.py
+++ b/tests/test_listed_tasks.py
@@ -9,11 +9,11 @@
 from basaltlead.core import fleet_sizing
 from basaltlead.core.demand import RentedCapacity
 from basaltlead.core.entities import Machine
-from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import MAX_TASKS_PER_MACHINE, US, MachineType, Shape
 from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.orphaned_attempt import OrphanedAttempt
 from basaltlead.core.planning import plan
+from basaltlead.core.task_demand import TaskDemand
 from basaltlead.core.task_keys import AttemptKey
 from basaltlead.core.task_states import SENT
 from basaltlead.net.http.messages import MAX_BODY_BYTES
--- a/tests/test_scale_hundreds.py
+++ b/tests/test_scale_hundreds.py
@@ -10,9 +10,9 @@
 from basaltlead.core import demand, fleet_sizing, placement, planning
 from basaltlead.core import offers as core_offers
 from basaltlead.core.entities import JobState, Machine
-from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import US, Resources, Shape
 from basaltlead.core.offers import Offer, RentableOffers
+from basaltlead.core.task_demand import TaskDemand
 from basaltlead.core.teams import TeamQuota
 from tests.builders import MACHINE_TYPE, TIMING, ShardHarness, make_job, task_status
 
--- a/tests/test_scale_thousands.py
+++ b/tests/test_scale_thousands.py
@@ -13,10 +13,10 @@
 from basaltlead.core.failures import FailurePolicy
 from basaltlead.core.fencing_tokens import FencingTokens
 from basaltlead.core.fleet import MAX_RETAINED_NAMES
-from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import RANKS, US, Resources, Shape
 from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.shard import Shard
+from basaltlead.core.task_demand import TaskDemand
 from basaltlead.core.task_reports import TaskReports
 from basaltlead.core.teams import TeamQuota
 from basaltlead.scaling.autoscaler import (
--- a/tests/test_silent_zones.py
+++ b/tests/test_silent_zones.py
@@ -6,10 +6,10 @@
 import pytest
 
 from basaltlead.core import fleet_sizing
-from basaltlead.core.fleet_sizing import TaskDemand
 from basaltlead.core.jobs import US, Job, MachineType, Shape
 from basaltlead.core.offers import Offer, RentableOffers
 from basaltlead.core.silent_zones import RENTAL_PAUSE_US, SilentZones
+from basaltlead.core.task_demand import TaskDemand
 from tests.builders import ShardHarness, make_job
 from tests.fakes import Deployment, FakeWorker
 from tests.simulation import Loop, simulated
