--- a/basaltlead/core/team_limits.py
+++ b/basaltlead/core/team_limits.py
@@ -124,4 +124,4 @@
     """How many tasks of this size, up to `most`, fit into what is left of a limit."""
     if left + EPS < 0:
         return 0
-    return min(most, int((left + EPS) / size)) if size > 0 else most
+    return int(min(most, (left + EPS) / size)) if size > 0 else most
--- a/tests/test_team_allowances.py
+++ b/tests/test_team_allowances.py
@@ -93,6 +93,7 @@
         (TeamQuota(gpus_max=2.0), {}, [4, 4]),
         (TeamQuota(cpus_max=6.0), {"cpus": 0.0}, [4, 4]),
         (TeamQuota(cpus_max=0.3), {"cpus": 0.1}, [3, 0]),
+        (TeamQuota(cpus_max=6.0), {"cpus": 5e-324}, [4, 4]),
     ],
 )
 def test_allowance_of_a_team_is_taken_job_by_job(
